--- /dev/null
+++ b/stoatusher/decide.py
@@ -0,0 +1,445 @@
+"""When, where and whether each message is sent: every decision of a relay, and every tuned value.
+
+Types, events and actions: `stoatusher/interface.py`; records: `stoatusher/state.py`. Times: microseconds.
+Ordinary path: an `Account` may spend M units in a window w that slides by steps s. One call is one unit:
+reserved while out (r), consumed in its start's bucket once answered (c). It goes only if c + r + 1 <= M,
+else a timer is set at the computed opening. What departs from this says so where it stands.
+"""
+
+import itertools
+import random
+from collections import deque
+from collections.abc import Iterator, Sequence
+
+from stoatusher import interface as api
+from stoatusher.interface import Effect, Group, ListKind, Result, State
+from stoatusher.state import Buckets, Call, Destination, Endpoint, Message, Records
+
+SECOND = 1_000_000
+OPEN = float("inf")
+WINDOW_US = SECOND  # shortest w: longer smooths bursts that a limit would take, shorter overruns it at edges
+STEPS = 50  # s = w / STEPS; fewer are cheaper and open later
+LEAST_UNITS = 2  # least M from a rate: of many relays few send at once, and refusals correct the rest
+ROOM = 2.5  # part of a listed rate over an even part: traffic is uneven, and refusals correct too much
+RATE_NOISE = 0.3  # a reported limit this far from the one in use replaces it; nearer is noise
+RISE = 1.25  # growth of a learned M in a window without refusal
+LIFT = 8  # so many such windows drop a learned M; fewer find a freed limit sooner, at more refusals
+KEPT = 128  # buckets, and starts for the cold bound, that are kept: bounds memory
+SHUT = 3  # windows of one told wait that look like a destination that is shut
+TRIES = 2  # w is stretched to no more than the longest life over this: fewer tries leave more to others
+BACK_OFF = 0.55, 1.0  # what a refusal leaves of a learned M of one or less; drawn, so that relays part ways
+CROWD = 0.25  # power of the number of relays that divides it: more may stand in line unseen
+PATIENCE = 10  # usual answer times until an answer is overdue; fewer give up work that would be done
+LEAST_PATIENCE_US = 3 * SECOND  # shortest patience: a few quick answers must not make a slow one overdue
+FIRST_GUESS_US = SECOND // 2  # usual answer time before the first answer
+SLOT_SHARE = 0.5  # part of the slots that one account may hold: leaves room for the others
+OUTAGE_RATE = 0.5  # failure rate that looks like an outage
+ANSWER_WEIGHT = 0.15  # weight of the newest answer in the failure rate, good or bad
+SILENCE_WEIGHT = 0.4  # weight of a silence in it: two in a row look like an outage
+AVOID_US = 3 * SECOND  # a failed endpoint gives way to its siblings for so long
+TABLE_US = 10 * SECOND  # a table of connections found full is believed for so long
+PACE_US = 20 * SECOND  # memory of a relay's own pace at an unlisted destination
+LONGEST = 3  # longest window of the cold bound, in OverloadForUs: it trades caution for messages' lives
+SPREAD = 0.7, 1.3  # drawn part of that window: relays that fail together must not come back together
+LEAST_TABLE = 4  # connections that a small table is taken to hold for relays that keep theirs
+REUSES = 2  # so many calls within the time that an idle connection lives make it worth keeping
+HOLD = 0.95  # share of MaxOpen above which this relay chooses whom to refuse
+ASK_AGAIN_US = SECOND // 2  # first pause before asking the list again, doubled up to a quarter of AskWithin
+MAY_HAVE_RUN = (Result.ERROR, Result.TIMED_OUT, Result.RESET, Result.CALLED_OFF)
+
+
+class Account:
+    """M, w, s, buckets, reservations and blocked-until of a destination, or of one route apart."""
+
+    def __init__(self, settings: api.Settings, rate: float | None) -> None:
+        self.settings = settings
+        self.reserved: dict[Call, None] = {}  # oldest first
+        self.blocked_until, self.usual_us = 0, FIRST_GUESS_US
+        self.learned, self.learned_us = OPEN, 0  # M learned from the last refusal, and when
+        self.pace, self.pace_us = 1.0, 0  # own calls done a second, and when that was last reckoned
+        self.set_rate(rate)
+
+    def set_rate(self, rate: float | None) -> None:
+        """Take M and w from a listed or reported rate of all relays; without one the account is open."""
+        self.rate, self.units, self.window, self.even = rate, OPEN, WINDOW_US, 0.0
+        if rate is not None:
+            self.even = rate * self.window / SECOND / self.settings.relays
+            self.units = max(LEAST_UNITS, self.even * min(self.settings.relays, ROOM))
+        self.stretched = self.window
+        self.longest = max(kind.deadline_us for kind in self.settings.classes.values()) // TRIES
+        self.buckets = Buckets(self.window // STEPS, KEPT)
+
+    def limit(self, at_us: int) -> float:
+        quiet = (at_us - self.learned_us) // self.stretched
+        return self.units if quiet >= LIFT else min(self.units, self.learned * RISE**quiet)
+
+    def patience_us(self) -> int:
+        return max(LEAST_PATIENCE_US, PATIENCE * self.usual_us)
+
+    def overdue(self, at_us: int) -> int:
+        """Calls out beyond patience: they no longer count as reservations; `crowded` bounds them instead."""
+        late = at_us - self.patience_us()
+        return sum(1 for _ in itertools.takewhile(lambda call: call.start_us <= late, self.reserved))
+
+    def crowded(self, now_us: int) -> bool:
+        """Whether a destination, silent or slow, holds as many slots as one may: it guards the others."""
+        share = SLOT_SHARE / (5 if self.overdue(now_us) else 1)
+        return len(self.reserved) >= max(1, self.settings.slots * share)
+
+    def inside(self, at_us: int) -> Iterator[tuple[int, int, int]]:  # w is stretched where M is below one
+        return self.buckets.inside(at_us, int(self.window / min(1.0, self.limit(at_us))))
+
+    def excess(self, at_us: int) -> float:
+        """Admission: c + r + 1 <= M; what is over it."""
+        consumed = sum(units for _, units, _ in self.inside(at_us))
+        return consumed + len(self.reserved) - self.overdue(at_us) + 1 - max(1.0, self.limit(at_us))
+
+    def opening(self, now_us: int) -> int:
+        """When a unit fits, after any told wait; one window ahead at most, or when a learned M rises."""
+        at = max(now_us, self.blocked_until)
+        if (excess := self.excess(at)) <= 0:
+            return at
+        for leaves_us, units, _ in self.inside(at):
+            if (excess := excess - units) <= 0:
+                return min(leaves_us, at + self.stretched - (at - self.learned_us) % self.stretched)
+        return max(at, next(iter(self.reserved)).start_us + self.patience_us()) + 1  # an answer comes first
+
+    def refused(self, now_us: int, part: float) -> None:
+        """Learn M from a refusal: what the window holds of calls that were taken on, or less and less."""
+        # An M below one is one unit in a w as much longer. Guards against many relays that spend one each,
+        # where refused calls use up a limit. Should also spare what is shut. Harms whom chance refused.
+        limit, least = self.limit(now_us), max(1.0, self.even)
+        taken_on = sum(done for *_, done in self.buckets.inside(now_us, self.window))
+        lowest = min(self.even or OPEN, self.window / self.longest)  # all relays at it stay within a limit
+        lower = max(limit * part / self.settings.relays**CROWD, lowest)
+        self.learned = max(least, taken_on) if limit > least else lower
+        self.learned_us, self.stretched = now_us, int(self.window / min(1.0, self.learned))
+
+
+def may_repeat(message: Message, now_us: int) -> bool:
+    """May-have-run: unsafe ones never again, keyed ones while their key is remembered."""
+    effect, oldest = message.kind.effect, now_us - message.kind.key_life_us
+    keyed = effect is Effect.KEYED and all(call.start_us > oldest for call in message.exposed())
+    return keyed or effect is Effect.SAFE or not message.exposed()
+
+
+def may_refuse(message: Message) -> bool:
+    """Whether the client may safely come again."""
+    keyed = message.kind.effect is Effect.KEYED and message.kind.group is Group.ALL
+    return not message.exposed() or message.kind.effect is Effect.SAFE or keyed
+
+
+class Sender(Records):
+    """All decisions of one relay."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        super().__init__(shares=dict.fromkeys(settings.tenants, 0))
+        self.settings, self.chance = settings, random.Random(seed)
+        self.asked, self.subscribed, self.pause_us = False, False, ASK_AGAIN_US
+
+    def step(self, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
+        """Take in all events of a round, then serve what they touched, the dearest to delay first."""
+        if now_us < self.now:
+            raise ValueError(f"time runs backwards: {now_us} after {self.now}")
+        self.now, self.actions, self.touched = now_us, [], {}
+        if self.settings.asks and not self.asked:
+            self.ask()
+        for event in events:
+            if isinstance(event, api.Taken):
+                self.take(event)
+            elif isinstance(event, api.Outcome):
+                self.outcome(event)
+            elif isinstance(event, api.Due) and event.label in self.timers:
+                self.due(self.timers.pop(event.label))
+            elif isinstance(event, api.Listed):
+                self.listed(event)
+            elif isinstance(event, api.Probed) and event.endpoint in self.probes:
+                self.answered(self.probes.pop(event.endpoint), event.result, 0, event.report)
+            elif isinstance(event, api.Withdrawn) and event.ref in self.messages:
+                self.drop(self.messages[event.ref])
+        urgent = [destination for destination in self.touched if destination.waiting]
+        urgent.sort(key=lambda to: self.loss(next(iter(to.waiting.values()))), reverse=True)
+        for destination in urgent:
+            self.serve(destination)
+        self.close_idle()
+        return self.actions
+
+    def close_idle(self) -> None:
+        """Keep a connection only where this relay will want it again before it closes by itself."""
+        # Guards against tables full of connections that idle, which one that calls seldom gains nothing from.
+        # Should also spare calls on those dropped unseen. Harms where bursts are far apart: a handshake each.
+        for endpoint in self.rested:
+            late = [at_us for at_us in endpoint.starts if at_us > self.now - self.settings.idle_us]
+            crowd = self.settings.relays / LEAST_TABLE  # in a small table it must earn its place
+            least = crowd if endpoint.entry.kind in self.small_tables else REUSES * (crowd > 1)
+            if endpoint.idle and len(late) < least:
+                endpoint.idle.clear()
+                self.actions.append(api.CloseIdle(endpoint.entry.endpoint))
+        self.rested = {}
+
+    def due(self, target: Message | Destination | None) -> None:
+        if target is None:
+            self.ask()
+        elif isinstance(target, Destination):
+            self.touched[target] = None
+        elif target.ref in self.messages:
+            grace = target.deadline_us + self.settings.answer_slack_us // 2
+            if self.now < target.deadline_us:  # an answer is late: a second copy may go, slots allowing
+                if len(target.out) == 1 and self.slots_out <= self.settings.slots * SLOT_SHARE:
+                    target.destination.waiting[target.ref] = target
+                    self.touched[target.destination] = None
+            elif target.out and self.now < grace:  # the attempt's own time-out comes first
+                self.timer(grace, target)
+            else:
+                self.finish(target)
+
+    def ask(self) -> None:
+        """Ask for changes until the list answers, never silent for all of AskWithin."""
+        self.asked = True
+        if not self.subscribed:
+            self.actions.append(api.Subscribe())
+            self.timer(self.now + self.pause_us, None)
+            self.pause_us = min(2 * self.pause_us, self.settings.ask_within_us // 4)
+
+    def listed(self, event: api.Listed) -> None:
+        if event.kind is ListKind.BROKEN:
+            if self.subscribed:
+                self.subscribed, self.pause_us = False, ASK_AGAIN_US
+                self.timer(self.now + self.pause_us, None)
+            return
+        self.subscribed |= event.kind is not ListKind.STALE
+        self.unlist(event)  # drains: nothing new from the moment this relay is told, well inside any grace
+        for entry in (entry for entry in event.entries if entry.state is State.IN):
+            name, to = entry.endpoint, self.destinations.setdefault(entry.destination, Destination())
+            rate = entry.rate if self.settings.rates_listed and entry.rate > 0 else None
+            where = name if self.settings.kinds[entry.kind].apart else ""
+            account = to.accounts[where] = to.accounts.get(where) or Account(self.settings, rate)
+            if name not in self.endpoints:
+                to.endpoints[name] = self.endpoints[name] = Endpoint(entry, account, deque(maxlen=KEPT))
+            elif self.endpoints[name].entry.rate != entry.rate:
+                account.set_rate(rate)
+            self.endpoints[name].entry = entry
+            self.touched[to] = None
+
+    def take(self, event: api.Taken) -> None:
+        if event.ref in self.messages:
+            raise ValueError(f"message {event.ref} was taken before")
+        destination = self.destinations.setdefault(event.destination, Destination())
+        kind = self.settings.classes[event.message_class]
+        key, worth = event.key if kind.keep_order else None, kind.worth * self.share(event.tenant)
+        message = Message(event.ref, kind, destination, key, self.now + event.left_us, worth)
+        self.hold(message)
+        self.timer(message.deadline_us, message)
+        if len(self.messages) > self.settings.max_open * HOLD:
+            # Holding nears its limit: refuse what has least worth to be had, where that is harmless.
+            able = [other for other in self.messages.values() if not other.out and may_refuse(other)]
+            for least in sorted(able, key=lambda other: other.worth_at(self.now, self.settings.halving))[:1]:
+                self.finish(least)
+
+    def share(self, tenant: str | None) -> float:
+        """Worth of a tenant's message: full in this relay's part of its quota, saved for a second at most."""
+        if tenant is None or tenant not in self.shares:
+            return 1.0
+        quota = max(self.settings.tenants[tenant].quota_per_s / self.settings.relays, 1e-6)
+        until = max(self.shares[tenant], self.now - SECOND) + int(SECOND / quota)
+        self.shares[tenant] = until if until <= self.now else self.shares[tenant]
+        return 1.0 if until <= self.now else self.settings.over_share_worth
+
+    def finish(self, message: Message) -> None:
+        """Give the final answer this relay owes: refused where a repeat is harmless, else failed."""
+        self.actions.append(api.Refuse(message.ref, 0) if may_refuse(message) else api.Fail(message.ref))
+        self.drop(message)
+
+    def outcome(self, event: api.Outcome) -> None:
+        if (found := self.calls.pop((event.ref, event.attempt), None)) is None:
+            return  # reported before
+        message, call = found
+        del message.out[event.attempt]
+        self.answered(call, event.result, event.wait_us, event.report)
+        if event.result in MAY_HAVE_RUN:
+            message.ran.append(call)
+            if message.key is not None and event.result is not Result.ERROR:
+                self.rest(message.key, self.now + self.settings.key_quiet_us)
+        if message.ref not in self.messages or event.ended:
+            self.drop(message)
+        elif not message.out:
+            message.destination.waiting[message.ref] = message
+            spent = message.attempts >= self.settings.most_attempts or self.now >= message.deadline_us
+            if spent or not may_repeat(message, self.now):
+                self.finish(message)
+
+    def answered(self, call: Call, result: Result, wait_us: int, report: tuple[float, ...]) -> None:
+        """Take an answer in: what the account learns of its limit, the endpoint's health, the free slot."""
+        endpoint, account = call.endpoint, call.endpoint.account
+        call.left -= 1
+        account.blocked_until = max(account.blocked_until, self.now + wait_us)
+        if call in account.reserved:
+            del account.reserved[call]
+            account.buckets.add(call.start_us, result is not Result.UNSENT, result is Result.DONE)
+            if result in (Result.DONE, Result.TIMED_OUT):  # or repeats would bury what is slow
+                account.usual_us += (self.now - call.start_us - account.usual_us) // 8
+            told = dict(zip(self.settings.report_names, report, strict=False)).get("x1", 0.0)
+            if told > 0 and abs(told / (account.rate or OPEN) - 1) > RATE_NOISE:
+                account.set_rate(told)
+            if result not in (Result.UNSENT, Result.CALLED_OFF):  # this relay's own doing
+                self.judge(endpoint, call.start_us, result, wait_us)
+        if call.left == 0:
+            self.end_call(call, reusable=result in (Result.DONE, Result.ERROR, Result.REFUSED))
+        self.touched[self.destinations[endpoint.entry.destination]] = None
+
+    def judge(self, endpoint: Endpoint, start_us: int, result: Result, wait_us: int) -> None:
+        """Judge an endpoint: what looks like an outage starts the cold bound, a success the way back."""
+        account = endpoint.account
+        if result is Result.DONE:
+            endpoint.done_us = self.now
+            endpoint.failure_rate *= 1 - ANSWER_WEIGHT
+            if not endpoint.cold:
+                fade = max(0.5, 1 - (self.now - account.pace_us) / PACE_US)
+                account.pace, account.pace_us = account.pace * fade + SECOND / PACE_US, self.now
+            elif endpoint.back_us is None:
+                endpoint.back_us = self.now
+            return
+        if result is Result.REFUSED:
+            account.refused(self.now, self.chance.uniform(*BACK_OFF))
+            if wait_us < SHUT * account.window:
+                return  # the limit spoke, not an outage
+        if result is Result.UNCONNECTED:
+            self.small_tables.add(endpoint.entry.kind)
+            endpoint.table = max(1, endpoint.out + len(endpoint.idle) - 1)
+            endpoint.table_until = self.now + TABLE_US
+        if result in (Result.UNCONNECTED, Result.TIMED_OUT) and endpoint.done_us > start_us:
+            return  # it answered others meanwhile: slow, or its table is full; a crash fails again
+        endpoint.failed_us, endpoint.swallows = self.now, result in MAY_HAVE_RUN
+        endpoint.spread = self.chance.uniform(*SPREAD)
+        weight = ANSWER_WEIGHT if result in (Result.ERROR, Result.RESET) else SILENCE_WEIGHT
+        endpoint.failure_rate += (1 - endpoint.failure_rate) * weight
+        if endpoint.cold or endpoint.failure_rate >= OUTAGE_RATE or result is Result.REFUSED:
+            if not endpoint.cold:
+                self.actions.append(api.Log(f"outage at {endpoint.entry.endpoint}: {result.value}"))
+                endpoint.since_us = self.now
+            endpoint.cold, endpoint.back_us = True, None
+
+    def cold_opening(self, endpoint: Endpoint) -> int:
+        """When an endpoint may be called by this relay's part of what it takes while down or cold."""
+        # Guards against pushing over what returns unannounced, so it holds in the outage too; spares calls to
+        # what fails most of them. It harms a healthy endpoint that fails twice by chance: a lower pace.
+        if not endpoint.cold:  # of many relays each has one failure to go by: it waits before the next try
+            wait_us = AVOID_US * endpoint.spread * (endpoint.done_us < endpoint.failed_us)
+            return max(self.now, endpoint.failed_us + int(wait_us))
+        account, rules, share = endpoint.account, self.settings, self.settings.cold_share
+        if endpoint.back_us is not None:
+            share += (1 - share) * (self.now - endpoint.back_us) / max(1, rules.warm_us)
+        if share > 1:
+            endpoint.cold = False
+            self.actions.append(api.Log(f"outage over at {endpoint.entry.endpoint}"))
+            return self.now
+        rate = account.pace if account.rate is None else account.rate / rules.relays
+        siblings = self.destinations[endpoint.entry.destination].endpoints.values()
+        among = sum(other.account is account for other in siblings)
+        part = rules.overload_factor * share * rate / max(1, among) / SECOND
+        # Relays that saw it fail add up while it lasts, so each waits as long again, not all at once.
+        longest = max(LONGEST * rules.overload_us, self.now - endpoint.since_us) * endpoint.spread
+        window = int(min(max(rules.overload_us, 1 / part), longest))
+        units = max(1, int(part * window))
+        return self.now if len(endpoint.starts) < units else max(self.now, endpoint.starts[-units] + window)
+
+    def usable(self, endpoint: Endpoint, message: Message) -> bool:
+        """Whether a message may go there: zone of its key, no copy there, nothing unsafe into an outage."""
+        kind = message.kind
+        if kind.effect is Effect.UNSAFE and endpoint.cold and endpoint.back_us is None and endpoint.swallows:
+            return False
+        zoned = kind.effect is Effect.KEYED and kind.group is Group.ZONE
+        if zoned and any(call.endpoint.entry.zone != endpoint.entry.zone for call in message.exposed()):
+            return False
+        return all(call.endpoint is not endpoint for call in message.out.values())
+
+    def rank(self, endpoint: Endpoint) -> tuple[bool, float, int, int]:
+        """Choose an endpoint: not lately failed, low fee, few calls out for the connections at hand."""
+        entry = endpoint.entry
+        fee = self.settings.fees.get(entry.zone, 0.0) * self.settings.kinds[entry.kind].apart
+        failed = endpoint.cold or self.now < endpoint.failed_us + AVOID_US
+        return failed, fee, endpoint.out - bool(endpoint.idle), endpoint.out
+
+    def eligible(self, message: Message) -> bool:
+        rest = 0 if message.key is None or message.attempts else self.rests.get(message.key, 0)
+        if rest > self.now:
+            self.wake(message.destination, rest)
+        first = message.key is None or (self.lanes[message.key][0] is message and rest <= self.now)
+        return first and may_repeat(message, self.now) and message.attempts < self.settings.most_attempts
+
+    def loss(self, message: Message, delay_us: int = SECOND) -> float:
+        soon, halving = self.now + FIRST_GUESS_US, self.settings.halving
+        return message.worth_at(soon, halving) - message.worth_at(soon + delay_us, halving)
+
+    def order(self, destination: Destination) -> list[Message]:
+        """Order what waits by what each loses if it goes last instead of first, then by aims."""
+        pace = sum(account.limit(self.now) / account.window for account in destination.accounts.values())
+        drain = max(SECOND, int(min(len(destination.waiting) / max(pace, 1e-7), 60 * SECOND)))
+        able = [message for message in destination.waiting.values() if self.eligible(message)]
+        return sorted(able, key=lambda message: (-self.loss(message, drain), message.aim_us))
+
+    def openings(self, destination: Destination) -> Iterator[tuple[Endpoint, int]]:
+        """Endpoints with a slot and a connection to be had, and when each may next be called."""
+        for endpoint in destination.endpoints.values():
+            endpoint.forget_idle(self.now - self.settings.idle_us)
+            full = not endpoint.idle and self.now < endpoint.table_until and endpoint.out >= endpoint.table
+            if not full and not endpoint.account.crowded(self.now):
+                yield endpoint, max(endpoint.account.opening(self.now), self.cold_opening(endpoint))
+
+    def serve(self, destination: Destination) -> None:
+        """Send what fits now, then wait: for the opening, a slot, or an answer."""
+        able: list[Message] | None = None
+        while destination.waiting:
+            openings = dict(self.openings(destination))
+            ready = [endpoint for endpoint in openings if openings[endpoint] <= self.now]
+            ready.sort(key=self.rank)
+            if able is None and ready:
+                able = self.order(destination)
+            able = [message for message in able or () if message.ref in destination.waiting]
+            choice = next((to for message in able for to in ready if self.usable(to, message)), None)
+            if choice is None:
+                for endpoint in [to for to in ready if able and to.cold and to.swallows][:1]:
+                    self.scout(destination, endpoint)
+                if later := [opening for opening in openings.values() if opening > self.now]:
+                    self.wake(destination, min(later))
+                return
+            if self.slots_out >= self.settings.slots:
+                return self.free_slots(destination)
+            bundle = [message for message in able if self.usable(choice, message)]
+            self.send(choice, bundle[: self.settings.kinds[choice.entry.kind].bundle_max])
+
+    def free_slots(self, destination: Destination) -> None:
+        self.starved[destination] = None
+        # With all slots taken, call off what is overdue, or silence and hung calls would hold them for the
+        # whole time of their messages. It harms where all is merely slow: an unsafe one called off is lost.
+        due = {key: it.start_us + it.endpoint.account.patience_us() for key, (_, it) in self.calls.items()}
+        late = [key for key, at_us in due.items() if at_us <= self.now and self.settings.may_cancel]
+        self.actions += [api.CallOff(*key) for key in late]
+        self.wake(destination, min([at for at in due.values() if at > self.now], default=self.now + SECOND))
+
+    def scout(self, destination: Destination, endpoint: Endpoint) -> None:
+        """Only unsafe messages wait for what swallows calls: a probe, or one of them, goes first."""
+        retry = endpoint.failed_us + self.settings.overload_us
+        if not self.settings.may_probe:
+            endpoint.swallows = self.now < retry
+            self.wake(destination, retry)
+        elif endpoint.entry.endpoint not in self.probes:
+            self.probes[endpoint.entry.endpoint] = self.start_call(endpoint, 1, 0)
+            self.actions.append(api.Probe(endpoint.entry.endpoint))
+
+    def send(self, endpoint: Endpoint, bundle: list[Message]) -> None:
+        """Send one call. Unsafe attempts wait out their time: giving up gains a slot and loses the worth."""
+        call, patience = self.start_call(endpoint, len(bundle), 1), endpoint.account.patience_us()
+        for message in bundle:
+            until, effect = message.deadline_us, message.kind.effect
+            if effect is Effect.KEYED:  # a repeat must still meet a remembered key
+                patience = min(patience, max(SECOND, message.kind.key_life_us // 2))
+            if effect is not Effect.UNSAFE and self.now + patience + endpoint.account.usual_us < until:
+                until = self.now + patience
+                if self.settings.second_copies:
+                    self.timer(self.now + patience // 2, message)
+            del message.destination.waiting[message.ref]
+            message.out[message.attempts] = call
+            self.calls[message.ref, message.attempts] = message, call
+            message.attempts += 1
+            self.actions.append(api.Send(message.ref, endpoint.entry.endpoint, until))
--- /dev/null
+++ b/stoatusher/state.py
@@ -0,0 +1,207 @@
+"""What a relay remembers of endpoints, calls and messages. Nothing here decides anything."""
+
+from __future__ import annotations
+
+import itertools
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from stoatusher.interface import Action, Entry, Listed, ListKind, MessageClass, State, Timer
+
+if TYPE_CHECKING:
+    from stoatusher.decide import Account
+
+NEVER = -(1 << 62)
+
+
+@dataclass(slots=True, eq=False)
+class Buckets:
+    """Units consumed, in buckets of size `slide`: all of them, and those of calls that were taken on."""
+
+    slide: int
+    kept: int
+    units: dict[int, tuple[int, int]] = field(default_factory=dict)
+
+    def add(self, at_us: int, unit: int, taken_on: int) -> None:
+        number = at_us // self.slide
+        had = self.units.get(number, (0, 0))
+        self.units[number] = had[0] + unit, had[1] + taken_on
+        if len(self.units) > self.kept:
+            del self.units[min(self.units)]
+
+    def inside(self, at_us: int, window: int) -> Iterator[tuple[int, int, int]]:
+        """When each bucket leaves the window, the first to leave first, with its units."""
+        first = (at_us - window) // self.slide + 1
+        for number in sorted(self.units):
+            if number >= first:
+                yield (number * self.slide + window, *self.units[number])
+
+
+@dataclass(slots=True, eq=False)
+class Endpoint:
+    """One endpoint: connections at hand, health, and what the bound on a cold one needs."""
+
+    entry: Entry
+    account: Account
+    starts: deque[int] = field(default_factory=deque)  # starts of late calls
+    out: int = 0
+    idle: deque[int] = field(default_factory=deque)  # when each idle connection was last used
+    table: int = 0  # connections it had when it would take no more, believed until `table_until`
+    table_until: int = NEVER
+    failed_us: int = NEVER
+    done_us: int = NEVER
+    swallows: bool = False  # its last failure may have run
+    failure_rate: float = 0.0  # of late outcomes
+    cold: bool = False  # down, or back and not yet warm
+    since_us: int = NEVER  # when it came to look like an outage
+    spread: float = 1.0  # drawn at each failure
+    back_us: int | None = None  # first success since the last failure, while cold
+
+    def forget_idle(self, until_us: int) -> None:
+        """Forget connections that have been closed for being idle since then."""
+        while self.idle and self.idle[0] <= until_us:
+            self.idle.popleft()
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One call out: one reservation, one slot (a probe needs none), `left` messages unanswered."""
+
+    endpoint: Endpoint
+    start_us: int
+    left: int
+    slot: int
+
+
+@dataclass(slots=True, eq=False)
+class Message:
+    """A message this relay answers for; `worth` is what it brings within its aim."""
+
+    ref: int
+    kind: MessageClass
+    destination: Destination
+    key: str | None
+    deadline_us: int
+    worth: float
+    attempts: int = 0
+    out: dict[int, Call] = field(default_factory=dict)
+    ran: list[Call] = field(default_factory=list)  # attempts that may have run
+
+    @property
+    def aim_us(self) -> int:
+        """When the time in which it is worth most is over."""
+        return self.deadline_us - self.kind.deadline_us + self.kind.aim_us
+
+    def worth_at(self, at_us: int, halving: bool) -> float:
+        """Worth still to be had by an answer at that time."""
+        kind, over = self.kind, max(0, at_us - self.aim_us)
+        even = 1 - (1 - kind.late_worth) * over / max(1, kind.deadline_us - kind.aim_us)
+        left = max(kind.late_worth, 0.5 ** (over / max(1, kind.aim_us))) if halving else even
+        return float(self.worth * left * (at_us < self.deadline_us))
+
+    def exposed(self) -> list[Call]:
+        """Attempts that may have run, those still out among them."""
+        return [*self.ran, *self.out.values()]
+
+
+@dataclass(slots=True, eq=False)
+class Destination:
+    """What waits for one destination, common to its routes' accounts, and its one timer."""
+
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    accounts: dict[str, Account] = field(default_factory=dict)
+    waiting: dict[int, Message] = field(default_factory=dict)
+    timer_us: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Records:
+    """All that a relay keeps of one round to the next."""
+
+    now: int = 0
+    slots_out: int = 0
+    actions: list[Action] = field(default_factory=list)
+    destinations: dict[int, Destination] = field(default_factory=dict)
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    messages: dict[int, Message] = field(default_factory=dict)
+    calls: dict[tuple[int, int], tuple[Message, Call]] = field(default_factory=dict)
+    probes: dict[str, Call] = field(default_factory=dict)
+    touched: dict[Destination, None] = field(default_factory=dict)  # to be served in this round
+    small_tables: set[str] = field(default_factory=set)  # kinds where a connection was not to be had
+    rested: dict[Endpoint, None] = field(default_factory=dict)  # had a connection come free in this round
+    starved: dict[Destination, None] = field(default_factory=dict)  # wait for a slot
+    timers: dict[int, Message | Destination | None] = field(default_factory=dict)
+    labels: Iterator[int] = field(default_factory=itertools.count)
+    lanes: dict[str, list[Message]] = field(default_factory=dict)  # of each key, in the order taken
+    rests: dict[str, int] = field(default_factory=dict)  # until when a key rests, the earliest first
+    shares: dict[str, int] = field(default_factory=dict)  # until when each tenant's share is used up
+
+    def timer(self, at_us: int, target: Message | Destination | None) -> None:
+        """Have a target dealt with at that time."""
+        label = next(self.labels)
+        self.timers[label] = target
+        self.actions.append(Timer(label, max(1, at_us - self.now)))
+
+    def wake(self, destination: Destination, at_us: int) -> None:
+        """Set a destination's one timer, unless it comes due before."""
+        if not self.now < destination.timer_us <= at_us:
+            destination.timer_us = max(at_us, self.now + 1)
+            self.timer(destination.timer_us, destination)
+
+    def start_call(self, endpoint: Endpoint, messages: int, slot: int) -> Call:
+        """Reserve for a call that goes out now, on an idle connection if there is one."""
+        call = Call(endpoint, self.now, messages, slot)
+        endpoint.account.reserved[call] = None
+        endpoint.starts.append(self.now)
+        endpoint.out += 1
+        self.slots_out += slot
+        if endpoint.idle:
+            endpoint.idle.pop()
+        return call
+
+    def end_call(self, call: Call, reusable: bool) -> None:
+        """Free what a call held; its connection idles if it is still good."""
+        call.endpoint.out -= 1
+        if reusable:
+            call.endpoint.idle.append(self.now)
+            self.rested[call.endpoint] = None
+        self.slots_out -= call.slot
+        self.touched.update(self.starved)
+        self.starved = {}
+
+    def unlist(self, news: Listed) -> None:
+        """Forget endpoints that a piece of news takes off the list."""
+        inside = {entry.endpoint for entry in news.entries if entry.state is State.IN}
+        told = (entry.endpoint for entry in news.entries) if news.kind is ListKind.PATCH else self.endpoints
+        for name in [name for name in dict.fromkeys(told) if name in self.endpoints and name not in inside]:
+            to = self.destinations[self.endpoints.pop(name).entry.destination]
+            del to.endpoints[name]
+            to.accounts.pop(name, None)  # a route's account goes with it, a shared one keeps what it learned
+
+    def hold(self, message: Message) -> None:
+        """Keep a message that was taken; it waits at the end of its key's lane."""
+        self.messages[message.ref] = message.destination.waiting[message.ref] = message
+        if message.key is not None:
+            self.lanes.setdefault(message.key, []).append(message)
+        self.touched[message.destination] = None
+
+    def drop(self, message: Message) -> None:
+        """Forget a message that has ended; its key passes on once none of its attempts is out."""
+        self.messages.pop(message.ref, None)
+        message.destination.waiting.pop(message.ref, None)
+        if not message.out:
+            self.touched.update((other.destination, None) for other in self.leave_lane(message))
+
+    def leave_lane(self, message: Message) -> list[Message]:
+        """Take a message out of its key's lane; what is left there."""
+        if message.key is None:
+            return []
+        self.lanes[message.key].remove(message)
+        return self.lanes[message.key] or self.lanes.pop(message.key)
+
+    def rest(self, key: str, until_us: int) -> None:
+        """Let a key rest; rests that are over are forgotten."""
+        self.rests = {other: until for other, until in self.rests.items() if until > self.now}
+        self.rests[key] = until_us
--- /dev/null
+++ b/tests/test_account.py
@@ -0,0 +1,184 @@
+"""The ordinary path: admission, buckets, openings, learning."""
+
+import pytest
+
+from stoatusher import interface as api
+from stoatusher.decide import LIFT, OPEN, RISE, Account
+from stoatusher.interface import Entry, Result, State
+from stoatusher.settings import read_settings
+from stoatusher.state import Call, Endpoint
+from tests.conftest import SECOND, Relay, of, setup
+
+
+def account(rate: float | None = 4.0) -> Account:
+    return Account(read_settings(setup()), rate)
+
+
+def consumed(owner: Account, start_us: int, result: Result = Result.DONE) -> None:
+    owner.buckets.add(start_us, result is not Result.UNSENT, result is Result.DONE)
+
+
+def spent(owner: Account, at_us: int) -> int:
+    return sum(units for _, units, _ in owner.buckets.inside(at_us, owner.window))
+
+
+def test_listed_rate_sets_units_and_window() -> None:
+    one = account(4.0)
+    assert (one.units, one.window) == (4.0, SECOND)
+    assert account(None).units == OPEN
+
+
+def test_admission_counts_consumptions_and_reservations() -> None:
+    one = account(4.0)
+    now = 10 * SECOND
+    for _ in range(2):
+        consumed(one, now)
+    endpoint = Endpoint(Entry("a", "north", "plain", 1, State.IN, 1.0), one)
+    one.reserved[Call(endpoint, now, 1, 1)] = None
+    assert one.excess(now) <= 0  # 2 + 1 + 1 <= 4
+    one.reserved[Call(endpoint, now, 1, 1)] = None
+    assert not one.excess(now) <= 0
+
+
+def test_opening_is_where_the_bucket_leaves_the_window() -> None:
+    one = account(4.0)
+    now = 10 * SECOND
+    for _ in range(4):
+        consumed(one, now)
+    opening = one.opening(now)
+    assert now + SECOND - one.buckets.slide <= opening <= now + SECOND + one.buckets.slide
+    assert not one.excess(opening - one.buckets.slide) <= 0
+    assert one.excess(opening) <= 0
+
+
+def test_a_call_counts_at_its_start_whenever_it_is_answered() -> None:
+    one = account(4.0)
+    consumed(one, 10 * SECOND)
+    assert spent(one, 10 * SECOND + SECOND - one.buckets.slide) == 1
+    assert spent(one, 11 * SECOND) == 0
+
+
+def test_an_attempt_that_was_never_sent_consumes_nothing() -> None:
+    one = account(4.0)
+    consumed(one, 10 * SECOND, Result.UNSENT)
+    assert spent(one, 10 * SECOND) == 0
+
+
+def test_a_refusal_learns_what_was_taken_on_then_rises_and_lifts() -> None:
+    one = account(None)
+    now = 10 * SECOND
+    for _ in range(3):
+        consumed(one, now)
+    consumed(one, now, Result.REFUSED)
+    one.refused(now, 0.5)
+    assert one.limit(now) == 3
+    assert one.limit(now + SECOND) == pytest.approx(3 * RISE)
+    assert one.limit(now + LIFT * SECOND) == OPEN
+
+
+def test_a_refusal_leaves_at_least_one_unit() -> None:
+    one = account(None)
+    one.refused(10 * SECOND, 0.5)
+    assert one.limit(10 * SECOND) == 1
+
+
+def test_a_full_window_sets_a_timer_and_the_message_goes_at_its_opening() -> None:
+    relay = Relay(Weights="nominal")
+    relay.listed("a", rate=2.0)
+    first = relay.step(relay.take(), relay.take(), relay.take())
+    assert len(of(first, api.Send)) == 2
+    relay.answer(1, 0)
+    relay.answer(2, 0)
+    assert not of(relay.advance(relay.now + SECOND // 2), api.Send)
+    assert len(of(relay.advance(relay.now + SECOND), api.Send)) == 1
+
+
+def test_a_bundle_is_one_unit_and_one_slot() -> None:
+    relay = Relay(Weights="nominal")
+    relay.listed("a", kind="bundled", rate=2.0)
+    actions = relay.step(*(relay.take() for _ in range(7)))
+    assert len(of(actions, api.Send)) == 6
+    assert relay.sender.slots_out == 2
+
+
+def test_slots_are_never_overrun() -> None:
+    relay = Relay(FamilyInfo__Slots=3)
+    relay.listed("a")
+    relay.sender.step(relay.now, [])
+    sends = of(relay.step(*(relay.take() for _ in range(9))), api.Send)
+    assert len(sends) <= 3
+    assert relay.sender.slots_out == len(sends)
+
+
+def test_a_silent_destination_leaves_slots_to_others() -> None:
+    relay = Relay()
+    relay.listed("a")
+    relay.step(*(relay.take("unsafe") for _ in range(9)))
+    assert relay.sender.slots_out <= 4
+
+
+def test_a_reported_limit_replaces_a_missing_one() -> None:
+    relay = Relay(LoadReport={"Names": ["x0", "x1"], "Via": "answers"})
+    relay.listed("a")
+    relay.step(relay.take())
+    relay.step(api.Outcome(1, 0, "a", Result.DONE, True, 1, 0, (0.5, 3.0)))
+    assert relay.sender.endpoints["a"].account.rate == 3.0
+
+
+def test_a_learned_m_below_one_stretches_w_and_rises_by_its_own_windows() -> None:
+    one = account(None)
+    now = 10 * SECOND
+    one.refused(now, 0.5)
+    one.refused(now, 0.5)
+    assert one.limit(now) == 0.5
+    one.buckets.add(now, True, False)
+    assert one.opening(now) == now + 2 * SECOND
+    assert one.limit(now + SECOND) == 0.5
+    assert one.limit(now + 2 * SECOND) == pytest.approx(0.5 * RISE)
+
+
+def test_many_relays_cut_further_and_no_further_than_the_even_part() -> None:
+    few, many = account(None), Account(read_settings(setup(Balancers=300)), 3.0)
+    for one in (few, many):
+        one.refused(10 * SECOND, 0.5)
+        one.refused(10 * SECOND, 0.5)
+    assert many.limit(10 * SECOND) < few.limit(10 * SECOND) / 2
+    for _ in range(20):
+        many.refused(10 * SECOND, 0.5)
+    assert many.limit(10 * SECOND) == pytest.approx(3.0 / 300)
+
+
+def test_a_changed_rate_in_a_later_list_takes_effect() -> None:
+    relay = Relay(Weights="nominal")
+    relay.listed("a", rate=4.0)
+    relay.listed("a", rate=9.0)
+    assert relay.sender.endpoints["a"].account.rate == 9.0
+    assert relay.sender.endpoints["a"].entry.rate == 9.0
+
+
+def test_nothing_grows_with_the_length_of_a_relays_life() -> None:
+    relay = Relay()
+    for ref in range(1, 60):
+        relay.listed(f"e{ref}", kind="apart")
+        relay.step(relay.take("ordered", f"k{ref}"))
+        endpoint = relay.sent[-1][2].endpoint
+        relay.answer(ref, 0)
+        gone = api.Entry(endpoint, "north", "apart", 1, State.GONE, 1.0)
+        relay.step(api.Listed(api.ListKind.PATCH, (gone,)))
+    relay.advance(relay.now + 20 * SECOND)
+    sender = relay.sender
+    for kept in (sender.timers, sender.lanes, sender.rests, sender.endpoints, sender.messages, sender.calls):
+        assert kept == {}
+    assert not sender.destinations[1].accounts
+
+
+def test_relays_that_fail_together_do_not_come_back_together() -> None:
+    spreads = set()
+    for seed in range(5):
+        relay = Relay()
+        relay.sender.chance.seed(seed)
+        relay.listed("a")
+        relay.step(relay.take())
+        relay.answer(1, 0, Result.REFUSED, wait_us=5 * SECOND)
+        spreads.add(relay.sender.endpoints["a"].spread)
+    assert len(spreads) == 5
