--- /dev/null
+++ b/amberlug/calls.py
@@ -0,0 +1,295 @@
+"""Connections to endpoints, and the calls and probes on them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from typing import Any
+
+from amberlug.link import Link, LinkLostError, Reply, dial
+from amberlug.messages import Attempt, Ending, Message
+from stoatusher.interface import Result, Settings
+
+IDLE_MARGIN = 0.5  # seconds that an idle connection is closed before the endpoint may close it
+LINKS_MOST = 400  # connections to endpoints at once: leaves most of 1,024 descriptors to clients
+BATCH_ENDS = {
+    "ok": Ending(Result.DONE),
+    "error": Ending(Result.ERROR),
+    "later": Ending(Result.REFUSED),
+    "gone": Ending(Result.UNSENT, over=True),
+    "exhausted": Ending(Result.UNSENT),
+}
+
+Ended = Callable[[Attempt, Ending], None]
+
+
+def report(text: str, names: Sequence[str]) -> tuple[float, ...]:
+    """Read a load report's values in the order of the settings; () where it can't be read."""
+    found: dict[str, float] = {}
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        try:
+            found[name] = float(value)
+        except ValueError:
+            return ()
+    return tuple(found.get(name, 0.0) for name in names) if names else ()
+
+
+def wait_us(reply: Reply) -> int:
+    """Read the told wait; one that can't be read is none."""
+    text = reply.headers.get("wait-ms", "").strip()
+    return int(text) * 1000 if text.isascii() and text.isdigit() else 0
+
+
+def ending(reply: Reply, names: Sequence[str]) -> Ending:
+    """Tell what an answer to a call with one fate means."""
+    told = report(reply.headers.get("srv-load", ""), names)
+    if reply.status == 200:
+        return Ending(Result.DONE, wait_us(reply), report=told)
+    if reply.status in (429, 503):
+        if reply.headers.get("slots-taken") == "1":
+            return Ending(Result.UNSENT, report=told)
+        return Ending(Result.REFUSED, wait_us(reply), report=told)
+    if reply.status in (400, 413, 504):  # never ran
+        return Ending(Result.UNSENT, report=told)
+    if reply.status == 410:
+        return Ending(Result.UNSENT, over=True, report=told)
+    return Ending(Result.ERROR, report=told)
+
+
+def batch_endings(reply: Reply, names: Sequence[str]) -> Mapping[str, Ending]:
+    """Tell each message's end from the answer to a batch; one that is not named may have run."""
+    told, wait = report(reply.headers.get("srv-load", ""), names), wait_us(reply)
+    ends: dict[str, Ending] = {}
+    for line in reply.body.decode("latin-1").splitlines():
+        name, _, word = line.strip().partition(" ")
+        if word in BATCH_ENDS:
+            known = BATCH_ENDS[word]
+            ends[name] = Ending(known.result, wait, known.over, told)
+    return ends
+
+
+def lost(error: LinkLostError) -> Ending:
+    """Tell what a lost connection means: only a request that was written may have run."""
+    return Ending(Result.RESET if error.written else Result.UNCONNECTED)
+
+
+class Pool:
+    """Connections to endpoints, the one used last taken first."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._dial = settings.dial_us / 1e6
+        self._life = max(0.1, settings.idle_us / 1e6 - IDLE_MARGIN)
+        self._addresses: dict[str, tuple[str, int]] = {}
+        self._idle: dict[str, list[Link]] = {}
+        self._timers: dict[Link, asyncio.TimerHandle] = {}
+        self._links: set[Link] = set()
+        self._dialing = 0
+
+    def locate(self, endpoint: str, address: tuple[str, int] | None) -> None:
+        """Learn where an endpoint is, or that it is gone."""
+        if address != self._addresses.get(endpoint):
+            self.close_idle(endpoint)
+        if address is None:
+            self._addresses.pop(endpoint, None)
+        else:
+            self._addresses[endpoint] = address
+
+    def located(self) -> list[str]:
+        return list(self._addresses)
+
+    async def take(self, endpoint: str, seconds: float) -> Link | None:
+        """Take an idle connection or dial a new one; None where none came up."""
+        idle = self._idle.get(endpoint, [])
+        while idle:
+            link = idle.pop()
+            self._timers.pop(link).cancel()
+            if link.usable:
+                return link
+            link.close()
+        address = self._addresses.get(endpoint)
+        if address is None or len(self._links) + self._dialing >= LINKS_MOST:
+            return None
+        self._dialing += 1
+        link_or_none = await dial(*address, min(self._dial, seconds))
+        self._dialing -= 1
+        if link_or_none is not None:
+            self._links.add(link_or_none)
+            link_or_none.on_lost = self._links.discard
+        return link_or_none
+
+    def give(self, endpoint: str, link: Link) -> None:
+        """Keep a connection for the next call, for less than the time that the endpoint keeps it."""
+        if not link.usable or endpoint not in self._addresses:
+            link.close()
+            return
+        idle = self._idle.setdefault(endpoint, [])
+        idle.append(link)
+        loop = asyncio.get_running_loop()
+        self._timers[link] = loop.call_later(self._life, self._retire, endpoint, link)
+        link.on_lost = lambda gone: self._lost_idle(endpoint, gone)
+
+    def close_idle(self, endpoint: str) -> None:
+        """Close the connections to an endpoint that carry no call."""
+        for link in list(self._idle.get(endpoint, [])):
+            self._retire(endpoint, link)
+
+    def _retire(self, endpoint: str, link: Link) -> None:
+        self._forget(endpoint, link)
+        link.close()
+
+    def _lost_idle(self, endpoint: str, link: Link) -> None:
+        self._forget(endpoint, link)
+        self._links.discard(link)
+
+    def _forget(self, endpoint: str, link: Link) -> None:
+        if (timer := self._timers.pop(link, None)) is not None:
+            timer.cancel()
+            self._idle[endpoint].remove(link)
+
+
+class Caller:
+    """Makes the calls: one at a time on a connection, each attempt's end reported once."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        pool: Pool,
+        clock: Callable[[], int],
+        clear: Callable[[Sequence[Attempt]], list[Attempt]],
+        ended: Ended,
+    ) -> None:
+        self._settings, self._pool, self._clock = settings, pool, clock
+        self._clear, self._ended = clear, ended
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._nudges: dict[Attempt, asyncio.Event] = {}
+
+    @property
+    def busy(self) -> bool:
+        return bool(self._nudges)
+
+    def call(self, endpoint: str, attempts: list[Attempt]) -> None:
+        """Send one call with one or more messages."""
+        nudge = asyncio.Event()
+        self._nudges.update(dict.fromkeys(attempts, nudge))
+        self._start(self._call(endpoint, attempts, nudge))
+
+    def call_off(self, attempt: Attempt) -> None:
+        """Stop waiting for an attempt; its end is reported as any other."""
+        attempt.called_off = True
+        if attempt in self._nudges:
+            self._nudges[attempt].set()
+
+    def probe(self, endpoint: str, ended: Callable[[Ending], None]) -> None:
+        """Ask an endpoint whether it is well."""
+        self._start(self._probe(endpoint, ended))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _end(self, attempt: Attempt, how: Ending) -> None:
+        if not attempt.ended:
+            attempt.ended = True
+            del self._nudges[attempt]
+            self._ended(attempt, how)
+
+    def _end_all(self, attempts: Sequence[Attempt], how: Ending) -> None:
+        for attempt in attempts:
+            self._end(attempt, how)
+
+    async def _call(self, endpoint: str, attempts: list[Attempt], nudge: asyncio.Event) -> None:
+        until = max(attempt.until_us for attempt in attempts)
+        link = await self._pool.take(endpoint, max(0.0, (until - self._clock()) / 1e6))
+        if link is None:
+            self._end_all(attempts, Ending(Result.UNCONNECTED))
+            return
+        # A dial takes time: what a drain, a wait or an end forbids by now is not sent.
+        cleared = self._clear(attempts)
+        self._end_all([attempt for attempt in attempts if attempt not in cleared], Ending(Result.UNSENT))
+        if cleared:
+            await self._converse(link, cleared, nudge)
+        self._pool.give(endpoint, link)
+
+    async def _converse(self, link: Link, attempts: list[Attempt], nudge: asyncio.Event) -> None:
+        reply = self._write(link, attempts)
+        while not reply.done():
+            waits_us = self._give_up(attempts)
+            if not any(not attempt.ended for attempt in attempts):
+                link.close()  # an attempt that was given up must not stay out on an open connection
+                return
+            nudge.clear()
+            nudged = asyncio.ensure_future(nudge.wait())
+            either: set[asyncio.Future[Any]] = {reply, nudged}
+            await asyncio.wait(either, timeout=waits_us / 1e6, return_when=asyncio.FIRST_COMPLETED)
+            nudged.cancel()
+        try:
+            self._read(reply.result(), attempts)
+        except LinkLostError as error:
+            single = len(attempts) == 1 and error.head is not None
+            how = ending(error.head, self._settings.report_names) if single and error.head else lost(error)
+            self._end_all(attempts, how)
+
+    def _write(self, link: Link, attempts: list[Attempt]) -> asyncio.Future[Reply]:
+        left_ms = max(1, (max(it.until_us for it in attempts) - self._clock()) // 1000)
+        headers = [("Req-Deadline-Ms", str(left_ms))]
+        if len(attempts) > 1:
+            return link.request("POST", "/hook/batch", headers, b"".join(map(_frame, attempts)))
+        message: Message = attempts[0].message
+        headers.append(("Req-Id", message.name))
+        if message.key is not None:
+            headers.append(("Idempotency-Key", message.key))
+        return link.request("POST", "/hook", headers, message.body)
+
+    def _read(self, reply: Reply, attempts: list[Attempt]) -> None:
+        names = self._settings.report_names
+        if len(attempts) == 1 or reply.status != 200:
+            self._end_all(attempts, ending(reply, names))
+            return
+        ends = batch_endings(reply, names)
+        for attempt in attempts:
+            self._end(attempt, ends.get(attempt.message.name, Ending(Result.ERROR)))
+
+    def _give_up(self, attempts: list[Attempt]) -> int:
+        """End what is out of time; how long the next one has.
+
+        While others in the call still wait, an attempt whose message lives on stays out with them: sent
+        again now it would be a second copy, and closing the connection would spoil the others.
+        """
+        now = self._clock()
+        left = [attempt for attempt in attempts if not attempt.ended]
+        alive = [attempt for attempt in left if not attempt.called_off and attempt.until_us > now]
+        for attempt in left:
+            if attempt not in alive and (not alive or attempt.message.over):
+                result = Result.CALLED_OFF if attempt.called_off else Result.TIMED_OUT
+                self._end(attempt, Ending(result))
+        return min((attempt.until_us for attempt in alive), default=now) - now
+
+    async def _probe(self, endpoint: str, ended: Callable[[Ending], None]) -> None:
+        seconds = self._settings.dial_us / 1e6
+        link = await self._pool.take(endpoint, seconds)
+        if link is None:
+            ended(Ending(Result.UNCONNECTED))
+            return
+        names = self._settings.report_names
+        try:
+            async with asyncio.timeout(seconds):
+                reply = await link.request("GET", "/metrics/load" if names else "/alive", [])
+        except TimeoutError:
+            link.close()
+            ended(Ending(Result.TIMED_OUT))
+            return
+        except LinkLostError as error:
+            ended(lost(error))
+            return
+        self._pool.give(endpoint, link)
+        how = ending(reply, names)
+        told = how.report or report(reply.body.decode("latin-1"), names)
+        ended(Ending(how.result, how.wait_us, report=told))
+
+
+def _frame(attempt: Attempt) -> bytes:
+    message = attempt.message
+    head = f"{message.name} {message.key or '-'} {len(message.body)}\r\n"
+    return head.encode("latin-1") + message.body + b"\r\n"
--- /dev/null
+++ b/amberlug/journal.py
@@ -0,0 +1,191 @@
+"""The durable log: what this relay has taken on, sent and ended, in one file that outlasts the process.
+
+`write()` outlasts SIGKILL with no sync. A record is a head (mark, kind, length, checksum) and its payload:
+JSON, and for a message taken a line end and its body.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import struct
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from amberlug.discovery import Notice, log
+from amberlug.messages import Attempt, Ending, Message
+from stoatusher.interface import Result
+
+_HEAD = struct.Struct(">2scII")
+_MARK = b"\xa7\x1e"
+SHARE = 0.4  # of the folder's room for the file: an old and a new one together stay well under it
+SPARE = 0.75  # part of that for messages held; the rest is for what else is written of them
+SMALL = 1 << 18  # bytes below which a file is not worth compacting
+BLOCK = 512  # files count in whole blocks
+
+
+@dataclass(slots=True)
+class Tried:
+    """An attempt before the restart, with its result if that was recorded."""
+
+    endpoint: str
+    at_ms: int
+    result: Result | None = None
+
+
+@dataclass(slots=True)
+class Held:
+    """A message that the journal holds: to be sent on, or with its notice still to be answered."""
+
+    message: Message
+    tried: dict[int, Tried] = field(default_factory=dict)
+    notice: Notice | None = None
+
+
+def _record(kind: bytes, fields: dict[str, Any], body: bytes | None = None) -> bytes:
+    payload = json.dumps(fields, separators=(",", ":")).encode()
+    if body is not None:
+        payload += b"\n" + body
+    return _HEAD.pack(_MARK, kind, len(payload), zlib.crc32(kind + payload)) + payload
+
+
+def _records(data: bytes) -> Iterator[tuple[bytes, bytes]]:
+    """Read records; a torn last one is dropped, anything else that is corrupt is skipped and logged."""
+    at = 0
+    while at < len(data):
+        if len(data) - at >= _HEAD.size:
+            mark, kind, size, check = _HEAD.unpack_from(data, at)
+            payload = data[at + _HEAD.size : at + _HEAD.size + size]
+            if mark == _MARK and len(payload) == size and zlib.crc32(kind + payload) == check:
+                yield kind, payload
+                at += _HEAD.size + size
+                continue
+        following = data.find(_MARK, at + 1)
+        if following < 0:
+            log(f"journal: {len(data) - at} bytes at the end can't be read: dropped")
+            return
+        log(f"journal: {following - at} bytes at {at} can't be read: skipped")
+        at = following
+
+
+class Journal:
+    """The log and the records that are still needed of it."""
+
+    def __init__(self, folder: Path, disk_bytes: int, now_ms: int) -> None:
+        self._path, self._aside = folder / "journal.log", folder / "journal.new"
+        self._most = int(disk_bytes * SHARE) // BLOCK * BLOCK
+        self._needed: dict[str, list[bytes]] = {}
+        self._needed_bytes = self._size = 0
+        self._ended: dict[str, int] = {}  # names of messages that are over, until their time is up
+        self.held: dict[str, Held] = {}
+        self._file = -1
+        self._replay(now_ms)
+        self._compact(now_ms)
+
+    def knows(self, name: str) -> bool:
+        """Whether a message with that name was taken on, and its time may not be up."""
+        return name in self._needed or name in self._ended
+
+    def fits(self, size: int) -> bool:
+        """Whether a message with a body of that size can be held."""
+        return self._needed_bytes + size + 2 * BLOCK <= self._most * SPARE
+
+    def take(self, message: Message) -> None:
+        """Record a message before it is answered for."""
+        fields = {
+            "id": message.name,
+            "class": message.message_class,
+            "tenant": message.tenant,
+            "key": message.key,
+            "dest": message.destination,
+            "until": message.deadline_ms,
+        }
+        self._write(message.name, _record(b"T", fields, message.body))
+
+    def attempt(self, attempt: Attempt, now_ms: int) -> None:
+        """Record an attempt before its first byte goes out."""
+        name = attempt.message.name
+        fields = {"id": name, "n": attempt.number, "to": attempt.endpoint, "at": now_ms}
+        self._write(name, _record(b"A", fields))
+
+    def outcome(self, attempt: Attempt, how: Ending) -> None:
+        name = attempt.message.name
+        self._write(name, _record(b"O", {"id": name, "n": attempt.number, "how": how.result.value}))
+
+    def notice(self, message: Message, notice: Notice) -> None:
+        """Record an end that is still to be told."""
+        fields = {"id": notice.name, "end": notice.outcome, "retry": notice.retry_ms}
+        record = _record(b"N", fields | {"until": message.deadline_ms})
+        self._forget(message.name)
+        self._write(message.name, record)
+
+    def end(self, name: str, until_ms: int, now_ms: int) -> None:
+        """Record that nothing more is owed for a message."""
+        self._forget(name)
+        self._ended[name] = until_ms
+        self._append(_record(b"E", {"id": name, "until": until_ms}))
+        if self._size > max(SMALL, 2 * self._needed_bytes) or self._size > self._most * SPARE:
+            self._compact(now_ms)
+
+    def _forget(self, name: str) -> None:
+        self._needed_bytes -= sum(map(len, self._needed.pop(name, ())))
+
+    def _write(self, name: str, record: bytes) -> None:
+        self._append(record)
+        self._needed.setdefault(name, []).append(record)
+        self._needed_bytes += len(record)
+
+    def _append(self, record: bytes) -> None:
+        left = memoryview(record)
+        while left:
+            left = left[os.write(self._file, left) :]
+        self._size += len(record)
+
+    def _compact(self, now_ms: int) -> None:
+        """Write what is needed aside and put it in the old file's place."""
+        self._ended = {name: until for name, until in self._ended.items() if until > now_ms}
+        ended = [_record(b"E", {"id": name, "until": until}) for name, until in self._ended.items()]
+        data = b"".join([*(record for records in self._needed.values() for record in records), *ended])
+        self._aside.write_bytes(data)
+        self._aside.replace(self._path)
+        if self._file >= 0:
+            os.close(self._file)
+        self._file = os.open(self._path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
+        self._size = len(data)
+
+    def _replay(self, now_ms: int) -> None:
+        data = self._path.read_bytes() if self._path.exists() else b""
+        for kind, payload in _records(data):
+            head, _, body = payload.partition(b"\n")
+            try:
+                self._replay_one(kind, json.loads(head), body, _HEAD.pack(
+                    _MARK, kind, len(payload), zlib.crc32(kind + payload)) + payload)
+            except (ValueError, KeyError, TypeError) as error:
+                log(f"journal: a record can't be understood: {error!r}: skipped")
+
+    def _replay_one(self, kind: bytes, fields: dict[str, Any], body: bytes, record: bytes) -> None:
+        name = fields["id"]
+        if kind == b"E":
+            self._forget(name)
+            self.held.pop(name, None)
+            self._ended[name] = fields["until"]
+            return
+        if kind == b"T":
+            self.held[name] = Held(Message(
+                name, fields["class"], fields["tenant"], fields["dest"], fields["key"], body,
+                fields["until"], taken=True))
+        elif kind == b"N":
+            self._forget(name)
+            message = Message(name, "", None, 0, None, b"", fields["until"], taken=True, over=True)
+            self.held[name] = Held(message, notice=Notice(name, fields["end"], fields["retry"]))
+        elif kind == b"A":
+            self.held[name].tried[fields["n"]] = Tried(fields["to"], fields["at"])
+        elif kind == b"O":
+            self.held[name].tried[fields["n"]].result = Result(fields["how"])
+        else:
+            raise ValueError(f"kind {kind!r}")
+        self._needed.setdefault(name, []).append(record)
+        self._needed_bytes += len(record)
--- /dev/null
+++ b/amberlug/link.py
@@ -0,0 +1,151 @@
+"""One outgoing HTTP/1.1 connection: a request at a time, and whether its last byte was written."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import h11
+
+BODY_MOST = 1 << 18  # longest answer that is kept: bounds memory against a broken peer
+
+Headers = Sequence[tuple[str, str]]
+
+
+@dataclass(slots=True)
+class Reply:
+    """What came back; its headers by lower-case name."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytearray = field(default_factory=bytearray)
+
+
+class LinkLostError(Exception):
+    """The connection ended before the answer did."""
+
+    def __init__(self, written: bool, head: Reply | None) -> None:
+        super().__init__("connection lost")
+        self.written = written  # whether the request's last byte had left
+        self.head = head  # the answer's first line and headers, if they came
+
+
+class Link(asyncio.Protocol):
+    """A connection that this relay opened; asyncio sets TCP_NODELAY on it."""
+
+    def __init__(self) -> None:
+        self._http = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._reply: Reply | None = None
+        self._waiter: asyncio.Future[Reply] | None = None
+        self._sink: Callable[[bytes], None] | None = None
+        self._unwritten = False
+        self.on_lost: Callable[[Link], None] | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be written now."""
+        transport = self._transport
+        idle = self._http.our_state is h11.IDLE and self._http.their_state is h11.IDLE
+        return transport is not None and not transport.is_closing() and idle
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        # With no room in the buffer a pause means that bytes are left: that tells a reset from no connection.
+        transport.set_write_buffer_limits(high=0)
+        self._transport = transport
+
+    def pause_writing(self) -> None:
+        self._unwritten = True
+
+    def resume_writing(self) -> None:
+        self._unwritten = False
+
+    def request(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes = b"",
+        sink: Callable[[bytes], None] | None = None,
+    ) -> asyncio.Future[Reply]:
+        """Write a request; the answer's body goes to `sink` as it comes, if there is one."""
+        self._waiter = asyncio.get_running_loop().create_future()
+        if not self.usable or self._transport is None:
+            self._waiter.set_exception(LinkLostError(written=False, head=None))
+            return self._waiter
+        self._reply, self._sink = None, sink
+        peer = self._transport.get_extra_info("peername")
+        head = [("Host", f"{peer[0]}:{peer[1]}"), *headers, ("Content-Length", str(len(body)))]
+        parts = [
+            self._http.send(h11.Request(method=method, target=target, headers=head)),
+            self._http.send(h11.Data(data=body)) if body else b"",
+            self._http.send(h11.EndOfMessage()),
+        ]
+        self._transport.write(b"".join(part for part in parts if part))
+        return self._waiter
+
+    def close(self) -> None:
+        """End the connection at once; a request that is out on it is given up."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        self._http.receive_data(data)
+        self._read()
+
+    def eof_received(self) -> None:
+        with contextlib.suppress(h11.RemoteProtocolError):
+            self._http.receive_data(b"")
+        self._read()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(LinkLostError(not self._unwritten, self._reply))
+            self._waiter.exception()  # it may be that nobody waits any more
+        if self.on_lost is not None:
+            self.on_lost(self)
+
+    def _read(self) -> None:
+        try:
+            while self._take(self._http.next_event()):
+                pass
+        except h11.RemoteProtocolError:
+            self.close()
+
+    def _take(self, event: object) -> bool:
+        if isinstance(event, h11.Response):
+            self._reply = Reply(
+                event.status_code, {name.decode(): value.decode("latin-1") for name, value in event.headers}
+            )
+        elif isinstance(event, h11.Data) and self._reply is not None:
+            if self._sink is not None:
+                self._sink(bytes(event.data))
+            else:
+                self._reply.body += event.data
+            if len(self._reply.body) > BODY_MOST:
+                self.close()
+                return False
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish()
+        return isinstance(event, h11.Response | h11.InformationalResponse | h11.Data)
+
+    def _finish(self) -> None:
+        waiter, reply = self._waiter, self._reply
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+        else:
+            self.close()
+        if waiter is not None and reply is not None and not waiter.done():
+            waiter.set_result(reply)
+
+
+async def dial(host: str, port: int, seconds: float) -> Link | None:
+    """Open a connection, or None where none came up in time."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(seconds):
+            _, link = await loop.create_connection(Link, host, port)
+    except (OSError, TimeoutError):
+        return None
+    return link
--- a/stoatusher/interface.py
+++ b/stoatusher/interface.py
@@ -159,6 +159,24 @@
     left_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class Earlier:
+    """An attempt made before a restart; without a result where none was recorded."""
+
+    endpoint: str
+    ago_us: int
+    result: Result | None
+
+
+@dataclass(frozen=True, slots=True)
+class Resumed:
+    """A message that this relay had taken before its restart and still answers for."""
+
+    taken: Taken
+    attempts: int
+    earlier: tuple[Earlier, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """How one attempt ended; `report` holds the values named in the settings, if any came."""
@@ -205,7 +223,7 @@
     data: bytes
 
 
-Event = Listed | Taken | Outcome | Probed | Withdrawn | Due | PeerNote
+Event = Listed | Taken | Resumed | Outcome | Probed | Withdrawn | Due | PeerNote
 
 
 @dataclass(frozen=True, slots=True)
