--- a/amberlug/__main__.py
+++ b/amberlug/__main__.py
@@ -77,7 +77,8 @@
     tasks = [asyncio.create_task(watch.run()), asyncio.create_task(node.notices.run())]
     log(f"ready on {config.listen[0]}:{config.listen[1]}")
     await stop.wait()
-    node.closing = server.closing = True
+    server.closing = True
+    node.close()
     started = loop.time()
     while loop.time() < started + OPEN_FOR or (node.busy and loop.time() < started + COLLECT_FOR):
         await asyncio.sleep(LOOK_AGAIN)
--- a/amberlug/journal.py
+++ b/amberlug/journal.py
@@ -6,17 +6,19 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import struct
 import zlib
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import astuple, dataclass, field
 from pathlib import Path
 from typing import Any
 
 from amberlug.discovery import Notice, log
 from amberlug.messages import Attempt, Ending, Message
+from stoatusher import interface as api
 from stoatusher.interface import Result
 
 _HEAD = struct.Struct(">2scII")
@@ -45,10 +47,21 @@
     notice: Notice | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """What the last life had seen, and when that was by its own clock and by the wall's."""
+
+    wall_ms: int
+    clock_us: int
+    seen: tuple[api.Seen, ...] = ()
+
+
 def _record(kind: bytes, fields: dict[str, Any], body: bytes | None = None) -> bytes:
     payload = json.dumps(fields, separators=(",", ":")).encode()
-    if body is not None:
-        payload += b"\n" + body
+    return _packed(kind, payload if body is None else payload + b"\n" + body)
+
+
+def _packed(kind: bytes, payload: bytes) -> bytes:
     return _HEAD.pack(_MARK, kind, len(payload), zlib.crc32(kind + payload)) + payload
 
 
@@ -81,9 +94,11 @@
         self._needed_bytes = self._size = 0
         self._ended: dict[str, int] = {}  # names of messages that are over, until their time is up
         self.held: dict[str, Held] = {}
+        self.memory = Memory(0, 0)
         self._file = -1
-        self._replay(now_ms)
-        self._compact(now_ms)
+        self._now_ms = now_ms
+        self._replay()
+        self._compact()
 
     def knows(self, name: str) -> bool:
         """Whether a message with that name was taken on, and its time may not be up."""
@@ -113,42 +128,67 @@
 
     def outcome(self, attempt: Attempt, how: Ending) -> None:
         name = attempt.message.name
-        self._write(name, _record(b"O", {"id": name, "n": attempt.number, "how": how.result.value}))
+        self._note(name, _record(b"O", {"id": name, "n": attempt.number, "how": how.result.value}))
+
+    def remember(self, memory: Memory) -> None:
+        """Record what the next life should know of the endpoints."""
+        if memory.seen != self.memory.seen:
+            self.memory = memory
+            self._note(None, self._memory_record())
+
+    def _memory_record(self) -> bytes:
+        rows = [astuple(it) for it in self.memory.seen]
+        fields = {"id": "", "wall": self.memory.wall_ms, "clock": self.memory.clock_us, "seen": rows}
+        return _record(b"S", fields)
 
     def notice(self, message: Message, notice: Notice) -> None:
         """Record an end that is still to be told."""
         fields = {"id": notice.name, "end": notice.outcome, "retry": notice.retry_ms}
         record = _record(b"N", fields | {"until": message.deadline_ms})
         self._forget(message.name)
-        self._write(message.name, record)
+        self._note(message.name, record)
 
     def end(self, name: str, until_ms: int, now_ms: int) -> None:
         """Record that nothing more is owed for a message."""
         self._forget(name)
         self._ended[name] = until_ms
-        self._append(_record(b"E", {"id": name, "until": until_ms}))
-        if self._size > max(SMALL, 2 * self._needed_bytes) or self._size > self._most * SPARE:
-            self._compact(now_ms)
+        self._now_ms = now_ms
+        self._note(None, _record(b"E", {"id": name, "until": until_ms}))
+        if self._size > max(SMALL, 2 * self._needed_bytes):
+            self._compact()
 
     def _forget(self, name: str) -> None:
         self._needed_bytes -= sum(map(len, self._needed.pop(name, ())))
 
+    def _note(self, name: str | None, record: bytes) -> None:
+        """Record what has happened anyway; the relay goes on where that fails."""
+        try:
+            self._append(record) if name is None else self._write(name, record)
+        except OSError as error:
+            log(f"journal: {error}")
+
     def _write(self, name: str, record: bytes) -> None:
         self._append(record)
         self._needed.setdefault(name, []).append(record)
         self._needed_bytes += len(record)
 
     def _append(self, record: bytes) -> None:
+        if self._size + len(record) > self._most:
+            self._compact()
+        # Guards against a folder that is over its room, which ends the relay: what does not fit is refused.
+        if self._size + len(record) > self._most:
+            raise OSError(errno.ENOSPC, "no room in the journal")
         left = memoryview(record)
         while left:
             left = left[os.write(self._file, left) :]
         self._size += len(record)
 
-    def _compact(self, now_ms: int) -> None:
+    def _compact(self) -> None:
         """Write what is needed aside and put it in the old file's place."""
-        self._ended = {name: until for name, until in self._ended.items() if until > now_ms}
+        self._ended = {name: until for name, until in self._ended.items() if until > self._now_ms}
         ended = [_record(b"E", {"id": name, "until": until}) for name, until in self._ended.items()]
-        data = b"".join([*(record for records in self._needed.values() for record in records), *ended])
+        needed = [record for records in self._needed.values() for record in records]
+        data = b"".join([*needed, *ended, self._memory_record()])
         self._aside.write_bytes(data)
         self._aside.replace(self._path)
         if self._file >= 0:
@@ -156,27 +196,30 @@
         self._file = os.open(self._path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
         self._size = len(data)
 
-    def _replay(self, now_ms: int) -> None:
+    def _replay(self) -> None:
         data = self._path.read_bytes() if self._path.exists() else b""
         for kind, payload in _records(data):
             head, _, body = payload.partition(b"\n")
             try:
-                self._replay_one(kind, json.loads(head), body, _HEAD.pack(
-                    _MARK, kind, len(payload), zlib.crc32(kind + payload)) + payload)
+                self._replay_one(kind, json.loads(head), body, _packed(kind, payload))
             except (ValueError, KeyError, TypeError) as error:
                 log(f"journal: a record can't be understood: {error!r}: skipped")
 
     def _replay_one(self, kind: bytes, fields: dict[str, Any], body: bytes, record: bytes) -> None:
         name = fields["id"]
+        if kind == b"S":
+            seen = (api.Seen(*row) for row in fields["seen"])
+            self.memory = Memory(fields["wall"], fields["clock"], tuple(seen))
+            return
         if kind == b"E":
             self._forget(name)
             self.held.pop(name, None)
             self._ended[name] = fields["until"]
             return
         if kind == b"T":
-            self.held[name] = Held(Message(
-                name, fields["class"], fields["tenant"], fields["dest"], fields["key"], body,
-                fields["until"], taken=True))
+            tenant, key, dest = fields["tenant"], fields["key"], fields["dest"]
+            message = Message(name, fields["class"], tenant, dest, key, body, fields["until"], taken=True)
+            self.held[name] = Held(message)
         elif kind == b"N":
             self._forget(name)
             message = Message(name, "", None, 0, None, b"", fields["until"], taken=True, over=True)
--- a/amberlug/node.py
+++ b/amberlug/node.py
@@ -5,11 +5,12 @@
 import asyncio
 import time
 from collections.abc import Sequence
+from dataclasses import replace
 from itertools import groupby
 
 from amberlug.calls import Caller, Pool
 from amberlug.discovery import News, Notice, Notices, log
-from amberlug.journal import Held, Journal
+from amberlug.journal import Held, Journal, Memory
 from amberlug.messages import Attempt, Ending, Exchange, Message
 from stoatusher import interface as api
 from stoatusher.interface import Result
@@ -39,7 +40,7 @@
         self._noticing: dict[str, int] = {}
         self._events: list[api.Event] = []
         self._round_at: asyncio.TimerHandle | None = None
-        self._last_us = self._refs = 0
+        self._last_us = self._last_round_us = self._remembered_us = self._refs = 0
         self.ready = self.closing = False
 
     def clock(self) -> int:
@@ -57,6 +58,7 @@
     def restore(self) -> None:
         """Go on with what the journal holds, the oldest first."""
         now_ms = wall_ms()
+        self._events.append(api.Remembered(self._remembered(now_ms)))
         for held in self._journal.held.values():
             if held.notice is not None:
                 self._noticing[held.message.name] = held.message.deadline_ms
@@ -67,6 +69,27 @@
         self._round()
         self.ready = True
 
+    def _remembered(self, now_ms: int) -> tuple[api.Seen, ...]:
+        """Put what the last life saw into this one's clock."""
+        memory = self._journal.memory
+        shift_us = self.clock() - memory.clock_us - max(0, now_ms - memory.wall_ms) * 1000
+        return tuple(
+            replace(
+                it,
+                since_us=it.since_us + shift_us,
+                failed_us=it.failed_us + shift_us,
+                done_us=it.done_us + shift_us,
+                back_us=None if it.back_us is None else it.back_us + shift_us,
+                learned_us=it.learned_us + shift_us,
+            )
+            for it in memory.seen
+        )
+
+    def close(self) -> None:
+        """Take nothing on and start no calls from now on; what is out is still collected."""
+        self.closing = True
+        self._tell(api.Closing())
+
     def _resume(self, held: Held, now_ms: int) -> None:
         message = held.message
         if message.message_class not in self._settings.classes:
@@ -163,15 +186,11 @@
             wait_us = self._last_round_us + self._settings.granularity_us - self.clock()
             self._round_at = asyncio.get_running_loop().call_later(max(0, wait_us) / SECOND, self._round)
 
-    _last_round_us = 0
-
     def _round(self) -> None:
         if self._round_at is not None:
             self._round_at.cancel()
             self._round_at = None
         events, self._events = self._events, []
-        if self.closing:  # outcomes are recorded; what is decided of them is left to the next life
-            return
         self._last_round_us = self.clock()
         actions = self._sender.step(self._last_round_us, events)
         ends = {it.ref: it for it in actions if isinstance(it, api.Refuse | api.Fail)}
@@ -179,6 +198,9 @@
             if isinstance(event, api.Taken) and event.ref in self._messages:
                 self._answer(self._messages[event.ref], ends.get(event.ref))
         self._carry_out(actions)
+        if self._last_round_us - self._remembered_us > SECOND:
+            self._remembered_us = self._last_round_us
+            self._journal.remember(Memory(wall_ms(), self._last_round_us, self._sender.seen()))
 
     def _answer(self, message: Message, end: api.Refuse | api.Fail | None) -> None:
         """Answer a client: taken on once the journal has it, or refused."""
@@ -187,7 +209,7 @@
             try:
                 self._journal.take(message)
                 message.taken = True
-            except OSError as error:
+            except OSError as error:  # what it can't hold is refused, and its sends are not made
                 log(f"journal: {error}")
                 self._tell(api.Withdrawn(message.ref))
         if not message.taken:
@@ -246,7 +268,11 @@
         for attempt in attempts:
             over = self.closing or attempt.called_off or attempt.message.over or attempt.until_us <= now
             if not over and self._sender.may_start(now, attempt.message.ref, attempt.endpoint):
-                self._journal.attempt(attempt, wall_ms())
+                try:
+                    self._journal.attempt(attempt, wall_ms())
+                except OSError as error:  # an attempt that is not recorded could be made twice
+                    log(f"journal: {error}")
+                    continue
                 cleared.append(attempt)
         return cleared
 
--- a/stoatusher/interface.py
+++ b/stoatusher/interface.py
@@ -177,6 +177,34 @@
     earlier: tuple[Earlier, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What a relay has seen of an endpoint in an outage or of a limit; times by the relay's clock."""
+
+    endpoint: str
+    cold: bool
+    since_us: int
+    failed_us: int
+    done_us: int
+    back_us: int | None
+    failure_rate: float
+    swallows: bool
+    learned: float
+    learned_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Remembered:
+    """What this relay had seen before its restart."""
+
+    seen: tuple[Seen, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The relay is about to end and starts no more calls; it comes back with what it holds."""
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """How one attempt ended; `report` holds the values named in the settings, if any came."""
@@ -223,7 +251,7 @@
     data: bytes
 
 
-Event = Listed | Taken | Resumed | Outcome | Probed | Withdrawn | Due | PeerNote
+Event = Listed | Taken | Resumed | Remembered | Closing | Outcome | Probed | Withdrawn | Due | PeerNote
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -8,26 +8,68 @@
 from collections.abc import Sequence
 
 from stoatusher import interface as api
-from stoatusher.decide import MAY_HAVE_RUN, Account, Sender, may_repeat
+from stoatusher.decide import MAY_HAVE_RUN, Account, Sender, may_refuse, may_repeat
 from stoatusher.interface import Group, State
-from stoatusher.state import NEVER, Call, Endpoint, Message
+from stoatusher.state import NEVER, Call, Destination, Endpoint, Message
+
+LEAST_ADVICE_US = 500_000  # how long a refused client stays away at least: a queue takes as long to go
+AWAY_US = 5_000_000  # how long a planned restart takes: ending, starting, and what waits by then
+KEEP = 0.75  # a message that keeps less of its worth over a planned restart is handed back for another relay
 
 
 class LastingSender(Sender):
     """All decisions of one relay that outlasts its processes."""
 
     resumed: api.Resumed | None = None
+    closing = False
 
     def step(self, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
-        """Take what was held before a restart first: it came first."""
-        self.now = max(self.now, now_us)
-        held = [event for event in events if isinstance(event, api.Resumed)]
-        early: list[api.Action] = []
-        for event in held:
-            self.actions = []
-            self.resume(event)
-            early += self.actions
-        return early + super().step(now_us, events)
+        """Take in what came as in any life, then what belongs to a restart, and serve what that touched."""
+        self.closing = self.closing or any(isinstance(event, api.Closing) for event in events)
+        super().step(now_us, events)
+        own = [it for it in events if isinstance(it, api.Remembered | api.Resumed | api.Closing)]
+        for event in own:
+            if isinstance(event, api.Remembered):
+                self.remember(event)
+            elif isinstance(event, api.Resumed):
+                self.resume(event)
+        for destination in self.destinations.values() if own else ():
+            self.serve(destination)
+        return self.actions
+
+    def serve(self, destination: Destination) -> None:
+        """Send what fits; while closing nothing goes out, and what would lose too much is handed back."""
+        # Guards against results that wait out a restart here, late, while another relay could send them.
+        if not self.closing:
+            super().serve(destination)
+            return
+        back_us, halving = self.now + AWAY_US, self.settings.halving
+        for message in list(destination.waiting.values()):
+            kept = message.worth_at(back_us, halving)
+            if may_refuse(message) and kept < KEEP * message.worth_at(self.now, halving):
+                self.finish(message)
+
+    def seen(self) -> tuple[api.Seen, ...]:
+        """What a next life must know: outages that this relay saw, and limits that it learned."""
+        return tuple(
+            api.Seen(
+                name, it.cold, it.since_us, it.failed_us, it.done_us, it.back_us, it.failure_rate,
+                it.swallows, it.account.learned, it.account.learned_us,
+            )
+            for name, it in self.endpoints.items()
+            if it.cold or it.account.limit(self.now) < it.account.units
+        )  # fmt: skip
+
+    def remember(self, event: api.Remembered) -> None:
+        """Go on with the bound on what is cold, and with limits, where the last life left off."""
+        # Guards against a new life that pushes over what its last life saw fail, or overspends a limit.
+        for seen in (it for it in event.seen if it.endpoint in self.endpoints):
+            endpoint = self.endpoints[seen.endpoint]
+            endpoint.cold, endpoint.since_us, endpoint.failed_us = seen.cold, seen.since_us, seen.failed_us
+            endpoint.done_us, endpoint.back_us, endpoint.swallows = seen.done_us, seen.back_us, seen.swallows
+            endpoint.failure_rate, account = seen.failure_rate, endpoint.account
+            account.learned, account.learned_us = seen.learned, seen.learned_us
+            account.stretched = int(account.window / min(1.0, account.learned))
 
     def resume(self, event: api.Resumed) -> None:
         """Hold a message again; one that can't go on is ended at once."""
@@ -64,6 +106,15 @@
         endpoint = self.endpoints.get(name)
         return ref in self.messages and endpoint is not None and endpoint.account.blocked_until <= now_us
 
+    def finish(self, message: Message) -> None:
+        """Give the final answer, a refusal with the time at which this relay could send again."""
+        super().finish(message)
+        end = self.actions[-1]
+        if isinstance(end, api.Refuse) and self.settings.may_advise:
+            opens = [opening for _, opening in self.openings(message.destination)]
+            advice_us = max(LEAST_ADVICE_US, min(opens, default=self.now) - self.now)
+            self.actions[-1] = api.Refuse(end.ref, min(advice_us, self.settings.max_advice_us))
+
     def bundle_most(self, name: str) -> int:
         """How many messages one call to an endpoint may hold."""
         endpoint = self.endpoints.get(name)
--- a/stoatusher/wirehost.py
+++ b/stoatusher/wirehost.py
@@ -10,7 +10,7 @@
 from typing import IO, TypeVar
 
 from stoatusher import interface as api
-from stoatusher.decide import Sender
+from stoatusher.lasting import LastingSender
 from stoatusher.settings import read_settings
 
 _RESULTS = {
@@ -192,7 +192,7 @@
     """The relays of this process and the numbered lists that their events refer to."""
 
     def __init__(self) -> None:
-        self._senders: dict[int, Sender] = {}
+        self._senders: dict[int, LastingSender] = {}
         self._lists: dict[int, list[api.Entry]] = {}
         self._open_list: tuple[list[api.Entry], int] | None = None
         self._batch: _Batch | None = None
@@ -237,7 +237,7 @@
                 settings = read_settings(json.loads(_text(fields, "Setup")))
             except json.JSONDecodeError as error:
                 raise WireError(f"field Setup is not JSON: {error}") from None
-            self._senders[relay] = Sender(settings, _whole(fields, "RandomSeed"))
+            self._senders[relay] = LastingSender(settings, _whole(fields, "RandomSeed"))
             batch.events[relay] = []
             return
         relay = self._known(fields)
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,223 @@
+"""The relay over loopback sockets: taking on, every outcome, batches, drains, waits and bad input."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.rig import OK, Answer, Seen, StandIn, hand_in, member, news, run, world
+
+WAIT: Answer = (429, [("Wait-Ms", "700")], b"")
+
+
+def test_a_message_is_taken_on_and_delivered_unchanged(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint) as (relay, _):
+            assert (await relay.hand_in("m1", "keyed")).status == 202
+            (seen,) = await endpoint.requests(1)
+            assert (seen.method, seen.path, seen.body) == ("POST", "/hook", b"hello")
+            assert (seen.name, seen.headers["idempotency-key"]) == ("m1", "key-m1")
+            assert 0 < int(seen.headers["req-deadline-ms"]) <= 8000
+
+    run(scenario())
+
+
+def test_the_same_id_again_is_answered_and_not_taken_twice(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint) as (relay, _):
+            assert (await relay.hand_in("m1")).status == 202
+            await endpoint.requests(1)
+            assert (await relay.hand_in("m1")).status == 202
+            assert (await relay.hand_in("m2")).status == 202
+            assert [seen.name for seen in await endpoint.requests(2)] == ["m1", "m2"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("first", "kind", "again"),
+    [
+        ((500, [], b""), "safe", True),
+        ((500, [], b""), "unsafe", False),
+        ((503, [], b""), "unsafe", True),
+        (WAIT, "unsafe", True),
+        ((503, [("Slots-Taken", "1")], b""), "unsafe", True),
+        ((504, [], b""), "unsafe", True),
+        ("reset", "unsafe", False),
+        ("reset", "safe", True),
+    ],
+)
+def test_an_outcome_decides_whether_it_is_sent_again(
+    tmp_path: Path, first: Answer | str, kind: str, again: bool
+) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+
+        def start(seen: Seen) -> bool:
+            if len(endpoint.seen) > 1:
+                return False
+            if isinstance(first, str):
+                seen.reset()
+            else:
+                seen.answer(first)
+            return True
+
+        endpoint.on_request = start
+        async with world(tmp_path, endpoint) as (relay, platform):
+            assert (await relay.hand_in("m1", kind)).status == 202
+            if again:
+                seen = await endpoint.requests(2)
+                assert [it.name for it in seen] == ["m1", "m1"]
+                assert first != WAIT or seen[1].at - seen[0].at > 0.7
+            else:
+                assert await platform.noticed() == [{"message": "m1", "outcome": "given_up"}]
+                assert len(endpoint.seen) == 1
+
+    run(scenario())
+
+
+def test_a_message_that_is_over_owes_nothing_more(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(OK, (410, [], b""))
+        async with world(tmp_path, endpoint) as (relay, platform):
+            await relay.hand_in("m1")
+            await endpoint.requests(1)
+            await relay.hand_in("m2", left_ms=2000)
+            await endpoint.requests(2)
+            assert (len(endpoint.seen), platform.notices) == (2, [])
+
+    run(scenario())
+
+
+def test_a_refused_connection_never_ran(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint) as (relay, platform):
+            await endpoint.stop()
+            await relay.hand_in("m1", "unsafe", left_ms=600)
+            (notice,) = await platform.noticed()
+            assert (notice["message"], notice["outcome"]) == ("m1", "handed_back")
+            assert notice["retry_in_ms"] >= 500
+
+    run(scenario())
+
+
+def test_a_silent_endpoint_ends_an_attempt_and_its_connection_at_the_deadline(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(None)
+        async with world(tmp_path, endpoint) as (relay, platform):
+            await relay.hand_in("m1", "unsafe", left_ms=700)
+            assert await platform.noticed() == [{"message": "m1", "outcome": "given_up"}]
+            await endpoint.until(lambda: endpoint.closed == 1)
+            assert len(endpoint.seen) == 1
+
+    run(scenario())
+
+
+def test_connections_are_kept_and_used_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint) as (relay, _):
+            for count in range(1, 6):
+                await relay.hand_in(f"m{count}")
+                await endpoint.requests(count)
+            assert endpoint.dials == 1
+
+    run(scenario())
+
+
+def test_sends_of_one_round_share_a_call_and_each_has_its_own_end(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(OK, None, (200, [], b"b ok\r\nc error\r\nd later\r\n"))
+        async with world(tmp_path, endpoint, kind="bundled", FamilyInfo__Slots=1) as (relay, platform):
+            await relay.hand_in("a", "unsafe")
+            (first,) = await endpoint.requests(1)
+            for name in ("b", "c", "d"):  # they wait for the one slot and go out together
+                await relay.hand_in(name, "unsafe")
+            first.answer(OK)
+            _, batch, again = await endpoint.requests(3)
+            assert batch.path == "/hook/batch"
+            assert batch.body == b"".join(b"%s - 5\r\nhello\r\n" % name for name in (b"b", b"c", b"d"))
+            assert (again.path, again.name) == ("/hook", "d")
+            assert await platform.noticed() == [{"message": "c", "outcome": "given_up"}]
+
+    run(scenario())
+
+
+def test_a_drain_is_heeded_in_the_round_that_reads_it(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        old, new = StandIn(), StandIn()
+        async with world(tmp_path, old) as (relay, platform):
+            await new.start()
+            await relay.hand_in("m1")
+            await old.requests(1)
+            await platform.watched(1)
+            platform.tell(news(member(old.port, "e0", "terminating"), member(new.port, "e9")))
+            for count in range(1, 20):
+                await relay.hand_in(f"n{count}")
+            await new.until(lambda: any(seen.name == "n19" for seen in new.seen))
+            await new.stop()
+
+    run(scenario())
+
+
+def test_broken_news_renews_the_watch_and_the_relay_lives(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint) as (relay, platform):
+            for count, line in enumerate([b"{", b'{"revision":3}', b'{"members":[7]}', b"[" * 100_000], 1):
+                await platform.watched(count)
+                platform.tell(line)
+            await platform.watched(5)
+            await relay.hand_in("m1")
+            assert (await endpoint.requests(1))[0].name == "m1"
+
+    run(scenario())
+
+
+def test_bad_input_is_answered_and_takes_nothing(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint, Accounts=[{"Name": "acme", "QuotaPerS": 9.0}]) as (relay, _):
+            good = hand_in("m1", "keyed", Req_Owner="acme")
+            bad = [good | change for change in (
+                {"Req-Id": "a b"}, {"Req-Kind": "other"}, {"Req-Owner": "who"}, {"Req-Deadline-Ms": "-5"},
+                {"Req-Deadline-Ms": "1e3"}, {"Envelope": "dest=x"}, {"Envelope": "cell=1"},
+            )] + [{key: value for key, value in good.items() if key != gone} for gone in good]  # fmt: skip
+            for headers in bad:
+                reply = await relay.ask("POST", "/keyed", headers, b"x")
+                assert reply.status == 400
+                assert reply.body.count(b"\n") == 1
+            assert (await relay.ask("POST", "/keyed", good, b"x" * 65_537)).status == 413
+            assert (await relay.ask("POST", "/nothing", good)).status == 404
+            assert (await relay.ask("GET", "/keyed", good)).status == 405
+            assert (await relay.ask("POST", "/up")).status == 405
+            assert endpoint.seen == []
+            assert (await relay.ask("POST", "/keyed", good, b"x" * 65_536)).status == 202
+            assert len((await endpoint.requests(1))[0].body) == 65_536
+
+    run(scenario())
+
+
+def test_more_than_may_be_held_is_refused(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(None)
+        async with world(tmp_path, endpoint, Bounds__MaxOpen=3) as (relay, _):
+            replies = [await relay.hand_in(f"m{count}", "unsafe") for count in range(6)]
+            assert {reply.status for reply in replies[3:]} <= {429, 503}
+            assert all("retry-after" in reply.headers for reply in replies if reply.status != 202)
+
+    run(scenario())
+
+
+def test_notices_are_sent_until_they_are_answered(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn((500, [], b""))
+        async with world(tmp_path, endpoint) as (relay, platform):
+            platform.answers = [(500, [], b""), (503, [], b"")]
+            await relay.hand_in("m1", "unsafe")
+            notices = await platform.noticed(3)
+            assert notices == [{"message": "m1", "outcome": "given_up"}] * 3
+
+    run(scenario())
--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,199 @@
+"""What outlasts the relay's process: kill -9 and replay, SIGTERM, the journal's file."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+from amberlug.journal import Journal
+from amberlug.messages import Attempt, Ending, Message
+from stoatusher.interface import Result
+from tests.rig import OK, StandIn, run, world
+
+LONG = 10**15
+
+
+def message(name: str, size: int = 5) -> Message:
+    return Message(name, "safe", None, 1, None, b"x" * size, LONG)
+
+
+def opened(folder: Path, disk: int = 1_000_000) -> Journal:
+    return Journal(folder, disk, 0)
+
+
+def used(folder: Path) -> int:
+    return sum(-(-path.stat().st_size // 512) * 512 for path in folder.iterdir())
+
+
+@pytest.mark.parametrize(("kind", "again"), [("safe", True), ("keyed", True), ("unsafe", False)])
+def test_a_call_out_at_a_kill_may_have_run(tmp_path: Path, kind: str, again: bool) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(OK, None)
+        async with world(tmp_path, endpoint) as (relay, platform):
+            assert (await relay.hand_in("m1", kind)).status == 202
+            await endpoint.requests(1)
+            await relay.kill()
+            await relay.start()
+            assert (await relay.hand_in("m1", kind)).status == 202
+            if again:
+                assert [seen.name for seen in await endpoint.requests(2)] == ["m1", "m1"]
+                assert endpoint.seen[1].body == b"hello"
+            else:
+                assert await platform.noticed() == [{"message": "m1", "outcome": "given_up"}]
+                assert len(endpoint.seen) == 1
+
+    run(scenario())
+
+
+def test_a_key_that_may_be_forgotten_is_not_sent_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(None)
+        async with world(tmp_path, endpoint) as (relay, platform):
+            await relay.hand_in("m1", "keyed")
+            await endpoint.requests(1)
+            await relay.kill()
+            relay.settings["Categories"][1]["KeyTtlUs"] = 1
+            await relay.start()
+            assert (await platform.noticed())[0]["message"] == "m1"
+            assert len(endpoint.seen) == 1
+
+    run(scenario())
+
+
+def test_a_message_never_sent_goes_on_after_a_kill(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(OK, None)
+        async with world(tmp_path, endpoint, FamilyInfo__Slots=1) as (relay, _):
+            await relay.hand_in("m1", "unsafe")
+            await endpoint.requests(1)
+            await relay.hand_in("m2", "unsafe")
+            await relay.kill()
+            await relay.start()
+            assert [seen.name for seen in await endpoint.requests(2)] == ["m1", "m2"]
+
+    run(scenario())
+
+
+def test_an_unanswered_notice_is_sent_by_the_next_life(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn((500, [], b""))
+        async with world(tmp_path, endpoint) as (relay, platform):
+            platform.usual = None
+            await relay.hand_in("m1", "unsafe")
+            await platform.noticed()
+            await relay.kill()
+            platform.usual = (204, [], b"")
+            before = len(platform.notices)
+            await relay.start()
+            assert (await platform.noticed(before + 1))[-1] == {"message": "m1", "outcome": "given_up"}
+
+    run(scenario())
+
+
+def test_sigterm_answers_what_comes_collects_what_is_out_and_starts_nothing(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(OK, None)
+        async with world(tmp_path, endpoint, FamilyInfo__Slots=1) as (relay, platform):
+            link = await relay.link()
+            await relay.hand_in("m1", "unsafe")
+            (out,) = await endpoint.requests(1)
+            await relay.hand_in("m2", "unsafe")
+            relay.signal(signal.SIGTERM)
+            # What loses most of its worth in a restart is handed back when the relay closes.
+            assert [it["outcome"] for it in await platform.noticed()] == ["handed_back"]
+            late = await link.request("POST", "/safe", [("Req-Id", "m3"), ("Req-Kind", "safe"),
+                                      ("Req-Deadline-Ms", "5000"), ("Envelope", "dest=1")])  # fmt: skip
+            assert (late.status, late.headers["connection"]) == (503, "close")
+            assert (await relay.hand_in("m4")).status == 503
+            out.answer(OK)
+            assert await relay.ended() == 0
+            assert [seen.name for seen in endpoint.seen] == ["m1"]
+            await relay.start()
+            await relay.hand_in("m5")
+            assert [seen.name for seen in await endpoint.requests(2)] == ["m1", "m5"]
+
+    run(scenario())
+
+
+def test_a_bad_configuration_is_one_line_and_code_2(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with world(tmp_path, StandIn()) as (relay, _):
+            await relay.kill()
+            for text in ("", "[]", "{}", '{"settings": {}, "known": 3}'):
+                (tmp_path / "bad.json").write_text(text)
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "amberlug", stderr=asyncio.subprocess.PIPE,
+                    env=os.environ | {"ROUTER_CONFIG": str(tmp_path / "bad.json")},
+                )  # fmt: skip
+                _, said = await process.communicate()
+                assert (process.returncode, said.count(b"\n")) == (2, 1)
+
+    run(scenario())
+
+
+def test_a_torn_last_record_is_dropped_and_the_rest_read(tmp_path: Path) -> None:
+    journal = opened(tmp_path)
+    for name in ("m1", "m2"):
+        journal.take(message(name))
+    path = tmp_path / "journal.log"
+    whole = path.read_bytes()
+    for cut in range(1, 60):
+        path.write_bytes(whole[:-cut])
+        assert list(opened(tmp_path).held) == ["m1"]
+
+
+def test_a_corrupt_record_is_skipped_and_logged(tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
+    journal = opened(tmp_path)
+    for name in ("m1", "m2", "m3"):
+        journal.take(message(name))
+    path = tmp_path / "journal.log"
+    data = path.read_bytes()
+    at = data.index(b'"m2"')
+    path.write_bytes(data[:at] + b"?" + data[at + 1 :])
+    assert list(opened(tmp_path).held) == ["m1", "m3"]
+    assert "skipped" in capfd.readouterr().err
+
+
+def test_attempts_are_read_with_what_became_of_them(tmp_path: Path) -> None:
+    journal, held = opened(tmp_path), message("m1")
+    journal.take(held)
+    first, second = (Attempt(held, number, "e", 0, 1) for number in (0, 1))
+    journal.attempt(first, 10)
+    journal.outcome(first, Ending(Result.ERROR))
+    journal.attempt(second, 20)
+    for _ in range(2):  # as written, and as compacted
+        tried = opened(tmp_path).held["m1"].tried
+        assert [(it.endpoint, it.at_ms, it.result) for it in tried.values()] == [
+            ("e", 10, Result.ERROR), ("e", 20, None)
+        ]  # fmt: skip
+
+
+def test_compaction_keeps_the_folder_within_its_room_and_what_is_held(tmp_path: Path) -> None:
+    journal = opened(tmp_path, 400_000)
+    journal.take(message("kept", 9000))
+    most = 0
+    for count in range(2000):
+        journal.take(message(f"m{count}", 1000))
+        journal.end(f"m{count}", 0, 1)
+        most = max(most, used(tmp_path))
+    assert most < 200_000
+    assert list(opened(tmp_path, 400_000).held) == ["kept"]
+
+
+def test_a_message_that_the_journal_cannot_hold_is_refused(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(None)
+        async with world(tmp_path, endpoint, disk_mb=0.1) as (relay, _):
+            headers = {"Req-Kind": "unsafe", "Req-Deadline-Ms": "8000", "Envelope": "dest=1"}
+            statuses = []
+            for count in range(8):
+                reply = await relay.ask("POST", "/unsafe", headers | {"Req-Id": f"m{count}"}, b"x" * 9000)
+                statuses.append(reply.status)
+            assert statuses[0] == 202
+            assert statuses[-1] == 503
+            assert used(tmp_path / "state") < 80_000
+
+    run(scenario())
