Close what idles at a draining endpoint, take only IP addresses, end in one line where the port is taken

Seen: a new connection whose dial outlasted a drain stayed idle at the draining endpoint until its own time was up (9.5 s in the test of a drain during a dial, closed by the idle timer; the endpoint counts it against its table). Node.listed kept the address of what drains; now only an endpoint in service has one, and calls that are out keep their connections. Ruled out: a send leaving after the drain (Node._clear held it back each time). Seen by reading: a host name in discovery's list would raise in the dial, outside its except, and leave its attempt with no outcome; address() now takes IP literals only.

--- a/amberlug/__main__.py
+++ b/amberlug/__main__.py
@@ -66,7 +66,8 @@
     """Serve until SIGTERM."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
     journal = Journal(config.state, config.disk_bytes, wall_ms())
     node = Node(config.settings, config.seed, journal, config.discovery)
     node.listed(config.known, ListKind.STALE)
@@ -90,14 +91,13 @@
 
 
 def main() -> int:
-    """Run the relay; 0 after SIGTERM, 2 after one plain line on a bad configuration."""
+    """Run the relay; 0 after SIGTERM, 2 after one plain line on what it can't be started with."""
     try:
-        config = read_config(os.environ)
+        asyncio.run(serve(read_config(os.environ)))
     except (ValueError, OSError) as error:
         text = str(error).replace("\n", " ")
         print(f"amberlug: {text}", file=sys.stderr)
         return 2
-    asyncio.run(serve(config))
     return 0
 
 
--- a/amberlug/calls.py
+++ b/amberlug/calls.py
@@ -84,7 +84,7 @@
         self._idle: dict[str, list[Link]] = {}
         self._timers: dict[Link, asyncio.TimerHandle] = {}
         self._links: set[Link] = set()
-        self._dialing = 0
+        self.dialing = 0
 
     def locate(self, endpoint: str, address: tuple[str, int] | None) -> None:
         """Learn where an endpoint is, or that it is gone."""
@@ -108,11 +108,11 @@
                 return link
             link.close()
         address = self._addresses.get(endpoint)
-        if address is None or len(self._links) + self._dialing >= LINKS_MOST:
+        if address is None or len(self._links) + self.dialing >= LINKS_MOST:
             return None
-        self._dialing += 1
+        self.dialing += 1
         link_or_none = await dial(*address, min(self._dial, seconds))
-        self._dialing -= 1
+        self.dialing -= 1
         if link_or_none is not None:
             self._links.add(link_or_none)
             link_or_none.on_lost = self._links.discard
--- a/amberlug/discovery.py
+++ b/amberlug/discovery.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from ipaddress import ip_address
 from typing import Any
 
 from amberlug.link import Link, LinkLostError, dial
@@ -37,11 +38,11 @@
 
 
 def address(text: str) -> tuple[str, int]:
-    """Split host:port."""
+    """Split an IP address and its port; there is no DNS to look a name up in."""
     host, _, port = text.rpartition(":")
-    if not host or not 0 < int(port) < 65536:
+    if not 0 < int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
-    return host, int(port)
+    return str(ip_address(host)), int(port)
 
 
 def read_news(data: Any, kinds: Iterable[str]) -> News:
--- a/amberlug/node.py
+++ b/amberlug/node.py
@@ -142,8 +142,9 @@
         """Pass the list's news on, in the round that reads it."""
         told = kind or (api.ListKind.WHOLE if news.whole else api.ListKind.PATCH)
         for entry in news.entries:
-            gone = entry.state is api.State.GONE
-            self._pool.locate(entry.endpoint, None if gone else news.addresses[entry.endpoint])
+            # Guards against connections that idle at what drains: calls that are out keep theirs.
+            wanted = entry.state is api.State.IN
+            self._pool.locate(entry.endpoint, news.addresses[entry.endpoint] if wanted else None)
         if news.whole:
             for endpoint in [it for it in self._pool.located() if it not in news.addresses]:
                 self._pool.locate(endpoint, None)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,9 +1,20 @@
 """The relay over loopback sockets: taking on, every outcome, batches, drains, waits and bad input."""
 
+import asyncio
+import json
 from pathlib import Path
 
 import pytest
 
+from amberlug.calls import batch_endings
+from amberlug.discovery import read_news
+from amberlug.journal import Journal
+from amberlug.link import Reply
+from amberlug.messages import Message
+from amberlug.node import Node
+from stoatusher.interface import Result
+from stoatusher.settings import read_settings
+from tests.conftest import SECOND, setup
 from tests.rig import OK, Answer, Seen, StandIn, hand_in, member, news, run, world
 
 WAIT: Answer = (429, [("Wait-Ms", "700")], b"")
@@ -166,10 +177,12 @@
     async def scenario() -> None:
         endpoint = StandIn()
         async with world(tmp_path, endpoint) as (relay, platform):
-            for count, line in enumerate([b"{", b'{"revision":3}', b'{"members":[7]}', b"[" * 100_000], 1):
+            nameless = news(member(1) | {"host_port": "." * 300 + ":1"})
+            broken = [b"{", b'{"revision":3}', b'{"members":[7]}', b"[" * 100_000, nameless]
+            for count, line in enumerate(broken, 1):
                 await platform.watched(count)
                 platform.tell(line)
-            await platform.watched(5)
+            await platform.watched(6)
             await relay.hand_in("m1")
             assert (await endpoint.requests(1))[0].name == "m1"
 
@@ -221,3 +234,96 @@
             assert notices == [{"message": "m1", "outcome": "given_up"}] * 3
 
     run(scenario())
+
+
+def test_a_wait_binds_every_message_and_endpoint_of_the_destination(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        first, second = StandIn(OK, WAIT), StandIn(OK, WAIT)
+        async with world(tmp_path, first, second) as (relay, _):
+            for count in range(6):
+                await relay.hand_in(f"m{count}")
+            seen = await _all_of(first, second, count=7)
+            told = seen[0].at
+            assert all(it.at - told > 0.65 or it.at - told < 0.1 for it in seen[1:])
+
+    run(scenario())
+
+
+async def _all_of(*endpoints: StandIn, count: int) -> list[Seen]:
+    async def enough() -> None:
+        waits = [asyncio.ensure_future(it.until(lambda: len(seen()) >= count)) for it in endpoints]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+
+    def seen() -> list[Seen]:
+        return sorted((it for endpoint in endpoints for it in endpoint.seen), key=lambda it: it.at)
+
+    await enough()
+    return seen()
+
+
+def test_a_client_that_hangs_up_before_its_answer_withdraws_its_message(tmp_path: Path) -> None:
+    """Drives the node itself: between sockets the answer is too quick to hang up before it."""
+
+    async def scenario() -> None:
+        settings = read_settings(setup(GranularityUs=50_000))
+        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1))
+        node.restore()
+        exchange = Told()
+        node.hand_in(Message("m1", "safe", None, 1, None, b"", 10**15), SECOND, exchange)
+        node.hung_up(exchange)
+        again = Told()
+        node.hand_in(Message("m2", "safe", None, 1, None, b"", 10**15), SECOND, again)
+        assert await again.status == 202
+        assert not exchange.status.done()
+        assert list(Journal(tmp_path, 10**6, 0).held) == ["m2"]
+
+    run(scenario())
+
+
+class Told:
+    """An exchange that keeps its answer."""
+
+    def __init__(self) -> None:
+        self.status: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+    def answer(self, status: int, text: str = "", retry_us: int = 0) -> None:
+        self.status.set_result(status)
+
+
+@pytest.mark.parametrize("stop", ["drain", "wait", "none"])
+def test_a_send_whose_dial_outlasts_a_drain_or_a_wait_does_not_leave(tmp_path: Path, stop: str) -> None:
+    async def scenario() -> None:
+        endpoint = await StandIn().start()
+        settings = read_settings(setup(Weights="nominal"))
+        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1))
+        kinds = list(settings.kinds)
+        node.listed(read_news(json.loads(news(member(endpoint.port))), kinds))
+        node.restore()
+        held = Message("m1", "unsafe", None, 1, None, b"x", 10**15)
+        node.hand_in(held, 5 * SECOND, exchange := Told())
+        assert await exchange.status == 202
+        while not node._pool.dialing:
+            await asyncio.sleep(0)
+        if stop == "drain":
+            node.listed(read_news(json.loads(news(member(endpoint.port, phase="terminating"))), kinds))
+        elif stop == "wait":
+            account = node._sender.endpoints["e"].account
+            account.blocked_until = node.clock() + 300_000
+        start = asyncio.get_running_loop().time()
+        await endpoint.until(lambda: endpoint.dials == 1)
+        if stop == "drain":
+            await endpoint.until(lambda: endpoint.closed == 1)  # the new connection is not used
+            assert endpoint.seen == []
+        else:
+            await endpoint.requests(1)
+            assert (asyncio.get_running_loop().time() - start > 0.2) == (stop == "wait")
+        await endpoint.stop()
+
+    run(scenario())
+
+
+def test_a_broken_batch_answer_may_have_run() -> None:
+    ends = batch_endings(Reply(200, {"wait-ms": "300"}, bytearray(b"a ok\r\nb what\r\n\xff\r\n")), ())
+    assert {name: (it.result, it.wait_us) for name, it in ends.items()} == {"a": (Result.DONE, 300_000)}
