Give test relays ports that no connection takes

Seen: of three socket test runs side by side, under load, one failed at a relay's start. Cause: free_port gave an ephemeral port, which another socket took before the relay bound it; and the rig took 'address already in use' for its 'ready' line. Ports now come from below the ephemeral range, and the whole line is looked for.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -186,10 +187,19 @@
     return json.dumps({"revision": revision, "complete": complete, "members": members}).encode()
 
 
+_ports = itertools.count(20_000 + os.getpid() * 37 % 9_000)
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Find a port below the ephemeral ones: no connection takes it while the relay is down."""
+    for port in _ports:
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("no port is free")
 
 
 @dataclass
@@ -218,7 +228,7 @@
             stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         assert self.process.stderr is not None
-        while b"ready" not in (line := await self.process.stderr.readline()):
+        while b"ready on" not in (line := await self.process.stderr.readline()):
             assert line, "the relay ended before it was ready"
         async with asyncio.timeout(PATIENCE):
             assert (await self.ask("GET", "/up")).status == 200
