Reread the configuration on SIGHUP instead of ending

Checked: __main__.serve sets handlers for SIGTERM and SIGINT alone, so SIGHUP has its default action; read_config let ROUTER_DISCOVERY, which a process keeps from its start, win over the file. Ruled out: a crash in the watch (the exit comes at the signal, with nothing in the log). Mend: configuration has a file of its own; SIGHUP reads it again, and the watch and the notices stop with their connections and start at the new address, the watch from its revision, the notices with all that was not answered 204.

--- a/amberlug/discovery.py
+++ b/amberlug/discovery.py
@@ -67,20 +67,49 @@
         raise ValueError(f"malformed list: {error!r}") from None
 
 
-class Watch:
+class _Side:
+    """Talks to discovery for as long as the relay runs, and begins anew where its address changes."""
+
+    def __init__(self, where: tuple[str, int]) -> None:
+        self._where = where
+        self._link: Link | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def _run(self) -> None:
+        raise NotImplementedError
+
+    def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        """End it with its connection; what is out on that is given up."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._link is not None:
+            self._link.close()
+
+    def move(self, where: tuple[str, int]) -> None:
+        """Go on at another address at once: what is told there counts, whatever the old one still says."""
+        if where != self._where:
+            log(f"discovery: now at {where[0]}:{where[1]}")
+            self.stop()
+            self._where = where
+            self.start()
+
+
+class Watch(_Side):
     """Follows the list; a connection that breaks, goes silent or sends what can't be read is renewed."""
 
     def __init__(
         self, where: tuple[str, int], kinds: Iterable[str], revision: int, told: Callable[[News], None]
     ) -> None:
-        self._where, self._kinds, self._told = where, tuple(kinds), told
+        super().__init__(where)
+        self._kinds, self._told = tuple(kinds), told
         self._revision = revision
-        self._link: Link | None = None
         self._rest = b""
         self._heard = 0.0
 
-    async def run(self) -> None:
-        """Follow for as long as the relay runs."""
+    async def _run(self) -> None:
         pause = PAUSE[0]
         while True:
             started = self._heard = asyncio.get_running_loop().time()
@@ -140,14 +169,14 @@
         return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
-class Notices:
+class Notices(_Side):
     """Sends each notice again until it is answered 204."""
 
     def __init__(self, where: tuple[str, int], done: Callable[[str], None]) -> None:
-        self._where, self._done = where, done
+        super().__init__(where)
+        self._done = done
         self._waiting: dict[str, Notice] = {}
         self._more = asyncio.Event()
-        self._link: Link | None = None
 
     @property
     def waiting(self) -> bool:
@@ -157,8 +186,7 @@
         self._waiting[notice.name] = notice
         self._more.set()
 
-    async def run(self) -> None:
-        """Send for as long as the relay runs."""
+    async def _run(self) -> None:
         pause, most = PAUSE[0], NOTICES_MOST
         while True:
             await self._more.wait()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -214,25 +214,41 @@
     port: int = field(default_factory=free_port)
     process: asyncio.subprocess.Process | None = None
 
-    async def start(self) -> None:
-        state, config = self.folder / "state", self.folder / "config.json"
-        state.mkdir(exist_ok=True)
-        config.write_text(json.dumps({
+    @property
+    def config(self) -> Path:
+        return self.folder / "config.json"
+
+    def configure(self) -> None:
+        self.config.write_text(json.dumps({
             "name": "n0", "seed": "8c1f30d27a5be964", "limits": {"disk_mb": self.disk_mb},
             "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.platform.port}",
             "known": {"revision": 1, "complete": True, "members": self.members}, "settings": self.settings,
         }))  # fmt: skip
-        variables = os.environ | {"ROUTER_CONFIG": str(config), "ROUTER_STATE": str(state)}
+
+    async def start(self) -> None:
+        state = self.folder / "state"
+        state.mkdir(exist_ok=True)
+        self.configure()
+        variables = os.environ | {
+            "ROUTER_CONFIG": str(self.config), "ROUTER_STATE": str(state),
+            "ROUTER_DISCOVERY": f"127.0.0.1:{self.platform.port}",
+        }  # fmt: skip
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "amberlug", cwd=ROOT, env=variables,
             stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
-        assert self.process.stderr is not None
-        while b"ready on" not in (line := await self.process.stderr.readline()):
-            assert line, "the relay ended before it was ready"
+        await self.said("ready on")
         async with asyncio.timeout(PATIENCE):
             assert (await self.ask("GET", "/up")).status == 200
 
+    async def said(self, text: str) -> None:
+        """Wait for a line of the relay's log."""
+        assert self.process is not None
+        assert self.process.stderr is not None
+        async with asyncio.timeout(PATIENCE):
+            while text.encode() not in (line := await self.process.stderr.readline()):
+                assert line, f"the relay ended before it said {text!r}"
+
     def signal(self, number: signal.Signals) -> None:
         assert self.process is not None
         self.process.send_signal(number)
