Give every client's connection a time limit, a share of the descriptors and a trusted length

Checked: server.py had no timer at all; CLIENTS_MOST (500) and calls.py's LINKS_MOST (400) are past the limit; asyncio accepts up to its backlog (512) in one turn and then, out of descriptors, nobody for 1 s; h11 lets Transfer-Encoding win over Content-Length. Ruled out: the endpoints' side (147 connections at once). Mend: config.py shares the descriptors out (and bounds clients by memory); a connection has a phase (reading, resting, asked, ending) with a time limit, and past the most, silent ones make room first; few accepts a turn; CL with TE and a field given twice are 400 and a close; a length over the limit is refused by its head; bytes ahead of an open request are dropped past 64 KiB (pausing was tried: a hang-up stands behind unsent bytes and is not seen then); a client that does not read is not read. Destinations that no list has named get 404. A full house of links closes the one idle longest; ids without idle connections leave no record, and a connection is kept only where its endpoint still is.

--- a/amberlug/__main__.py
+++ b/amberlug/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 
 from amberlug.config import Config, read_config
@@ -18,6 +19,7 @@
 COLLECT_FOR = 3.0  # seconds after SIGTERM for calls that are out: SIGKILL comes at 3.7 s
 LOOK_AGAIN = 0.02
 BACKLOG = 512
+ACCEPTS = 8  # connections accepted in one turn of the loop
 
 
 async def serve(config: Config) -> None:
@@ -26,12 +28,17 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    journal = Journal(config.state, config.disk_bytes, wall_ms())
-    node = Node(config.settings, config.seed, journal, config.discovery)
+    journal = Journal(config.state, config.limits.disk_bytes, wall_ms())
+    node = Node(config.settings, config.seed, journal, config.discovery, config.limits.links)
     node.listed(config.known, ListKind.STALE)
     node.restore()
-    server = Server(config.settings, node, wall_ms)
-    listener = await loop.create_server(server, *config.listen, backlog=BACKLOG)
+    server = Server(config.settings, node, wall_ms, config.limits.clients)
+    sock = socket.create_server(
+        config.listen, family=socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
+    )
+    # asyncio accepts as many in one turn as its backlog tells, before one of them can be given up again.
+    listener = await loop.create_server(server, sock=sock, backlog=ACCEPTS)
+    sock.listen(BACKLOG)
     watch = Watch(config.discovery, config.settings.kinds, config.known.revision, node.listed)
     loop.add_signal_handler(signal.SIGHUP, reread, watch, node.notices)
     watch.start()
--- a/amberlug/calls.py
+++ b/amberlug/calls.py
@@ -11,7 +11,6 @@
 from stoatusher.interface import Result, Settings
 
 IDLE_MARGIN = 0.5  # seconds that an idle connection is closed before the endpoint may close it
-LINKS_MOST = 400  # connections to endpoints at once: leaves most of 1,024 descriptors to clients
 BATCH_ENDS = {
     "ok": Ending(Result.DONE),
     "error": Ending(Result.ERROR),
@@ -77,12 +76,15 @@
 class Pool:
     """Connections to endpoints, the one used last taken first."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, most: int) -> None:
+        self._most = most
         self._dial = settings.dial_us / 1e6
         self._life = max(0.1, settings.idle_us / 1e6 - IDLE_MARGIN)
         self._addresses: dict[str, tuple[str, int]] = {}
         self._idle: dict[str, list[Link]] = {}
-        self._timers: dict[Link, asyncio.TimerHandle] = {}
+        self._timers: dict[
+            Link, tuple[str, asyncio.TimerHandle]
+        ] = {}  # of those that idle, the longest first
         self._links: set[Link] = set()
         self.dialing = 0
 
@@ -100,52 +102,64 @@
 
     async def take(self, endpoint: str, seconds: float) -> Link | None:
         """Take an idle connection or dial a new one; None where none came up."""
-        idle = self._idle.get(endpoint, [])
-        while idle:
-            link = idle.pop()
-            self._timers.pop(link).cancel()
+        while (idle := self._idle.get(endpoint)) is not None:
+            link = idle[-1]
+            self._forget(link)
             if link.usable:
                 return link
             link.close()
         address = self._addresses.get(endpoint)
-        if address is None or len(self._links) + self.dialing >= LINKS_MOST:
+        if address is None:
             return None
+        self._make_room()
         self.dialing += 1
-        link_or_none = await dial(*address, min(self._dial, seconds))
-        self.dialing -= 1
+        try:
+            link_or_none = await dial(*address, min(self._dial, seconds))
+        finally:
+            self.dialing -= 1
         if link_or_none is not None:
             self._links.add(link_or_none)
-            link_or_none.on_lost = self._links.discard
+            link_or_none.on_lost = self._lost
         return link_or_none
 
+    def _make_room(self) -> None:
+        """Close what has been idle longest where a further connection would be one too many."""
+        # Guards against running out of descriptors. Calls alone don't: the module has fewer slots than links.
+        if len(self._links) + self.dialing >= self._most and self._timers:
+            self._retire(next(iter(self._timers)))
+
     def give(self, endpoint: str, link: Link) -> None:
         """Keep a connection for the next call, for less than the time that the endpoint keeps it."""
-        if not link.usable or endpoint not in self._addresses:
+        # Guards against keeping one to where the endpoint no longer is, or of one that is gone.
+        if not link.usable or self._addresses.get(endpoint) != link.where:
             link.close()
             return
-        idle = self._idle.setdefault(endpoint, [])
-        idle.append(link)
-        loop = asyncio.get_running_loop()
-        self._timers[link] = loop.call_later(self._life, self._retire, endpoint, link)
-        link.on_lost = lambda gone: self._lost_idle(endpoint, gone)
+        self._idle.setdefault(endpoint, []).append(link)
+        timer = asyncio.get_running_loop().call_later(self._life, self._retire, link)
+        self._timers[link] = endpoint, timer
 
     def close_idle(self, endpoint: str) -> None:
         """Close the connections to an endpoint that carry no call."""
-        for link in list(self._idle.get(endpoint, [])):
-            self._retire(endpoint, link)
+        for link in list(self._idle.get(endpoint, ())):
+            self._retire(link)
 
-    def _retire(self, endpoint: str, link: Link) -> None:
-        self._forget(endpoint, link)
+    def _retire(self, link: Link) -> None:
+        self._forget(link)
         link.close()
 
-    def _lost_idle(self, endpoint: str, link: Link) -> None:
-        self._forget(endpoint, link)
+    def _lost(self, link: Link) -> None:
+        self._forget(link)
         self._links.discard(link)
 
-    def _forget(self, endpoint: str, link: Link) -> None:
-        if (timer := self._timers.pop(link, None)) is not None:
-            timer.cancel()
-            self._idle[endpoint].remove(link)
+    def _forget(self, link: Link) -> None:
+        """Take a connection out of those that idle; an endpoint without any leaves no record."""
+        if link not in self._timers:
+            return
+        endpoint, timer = self._timers.pop(link)
+        timer.cancel()
+        self._idle[endpoint].remove(link)
+        if not self._idle[endpoint]:
+            del self._idle[endpoint]
 
 
 class Caller:
--- a/amberlug/config.py
+++ b/amberlug/config.py
@@ -4,14 +4,40 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 from amberlug.discovery import News, address, read_news
+from amberlug.server import BODY_MOST
 from stoatusher.interface import Settings
 from stoatusher.settings import read_settings
 
+SPARE = 48  # descriptors for watch, notices, files and signals, and for what is accepted or dialed meanwhile
+CLIENTS = (
+    0.6  # part of the others for clients, who hold a third of all at most for requests; the rest for calls
+)
+BODIES = 0.25  # part of the memory that the bodies being read may take
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """How much each side of the relay may hold at once, out of what the deployment allows."""
+
+    clients: int  # connections of clients
+    links: int  # connections to endpoints
+    disk_bytes: int
+
+
+def read_limits(data: Any) -> Limits:
+    """Share out the limits; `ValueError` where they are too tight to serve."""
+    sockets = int(float(data["sockets"])) - SPARE
+    clients = min(int(sockets * CLIENTS), int(float(data["memory_mb"]) * 1_000_000 * BODIES / BODY_MOST))
+    links = sockets - int(sockets * CLIENTS)
+    if clients < 1 or links < 1:
+        raise ValueError("the limits leave no room to serve")
+    return Limits(clients, links, int(float(data["disk_mb"]) * 1_000_000))
+
 
 @dataclass(frozen=True, slots=True)
 class Config:
@@ -21,7 +47,7 @@
     discovery: tuple[str, int]
     state: Path
     seed: int
-    disk_bytes: int
+    limits: Limits
     known: News
     settings: Settings
 
@@ -33,7 +59,9 @@
         raise ValueError("ROUTER_CONFIG is not set")
     try:
         data = json.loads(Path(path).read_text(encoding="utf-8"))
-        settings = read_settings(data["settings"])
+        limits, settings = read_limits(data["limits"]), read_settings(data["settings"])
+        # Guards against calls that the module starts and no connection can carry.
+        settings = replace(settings, slots=min(settings.slots, limits.links))
         known = read_news(data["known"], settings.kinds)
         state = environ.get("ROUTER_STATE")
         if not state or not Path(state).is_dir():
@@ -43,7 +71,7 @@
             discovery=_discovery(environ, data),
             state=Path(state),
             seed=int(str(data["seed"]), 16),
-            disk_bytes=int(float(data["limits"]["disk_mb"]) * 1_000_000),
+            limits=limits,
             known=known,
             settings=settings,
         )
--- a/amberlug/link.py
+++ b/amberlug/link.py
@@ -33,7 +33,8 @@
 class Link(asyncio.Protocol):
     """A connection that this relay opened; asyncio sets TCP_NODELAY on it."""
 
-    def __init__(self) -> None:
+    def __init__(self, where: tuple[str, int]) -> None:
+        self.where = where
         self._http = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
         self._reply: Reply | None = None
@@ -145,7 +146,7 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(seconds):
-            _, link = await loop.create_connection(Link, host, port)
+            _, link = await loop.create_connection(lambda: Link((host, port)), host, port)
     except (OSError, TimeoutError):
         return None
     return link
--- a/amberlug/node.py
+++ b/amberlug/node.py
@@ -29,10 +29,12 @@
 class Node:
     """Owns the module, its clock and timers, and the record of every message held."""
 
-    def __init__(self, settings: api.Settings, seed: int, journal: Journal, where: tuple[str, int]) -> None:
+    def __init__(
+        self, settings: api.Settings, seed: int, journal: Journal, where: tuple[str, int], links: int
+    ) -> None:
         self._settings, self._journal = settings, journal
         self._sender = LastingSender(settings, seed)
-        self._pool = Pool(settings)
+        self._pool = Pool(settings, links)
         self._caller = Caller(settings, self._pool, self.clock, self._clear, self._attempt_ended)
         self.notices = Notices(where, self._noticed)
         self._messages: dict[int, Message] = {}
@@ -116,6 +118,10 @@
             message.ref, message.destination, message.message_class, message.tenant, None, left_us
         )
 
+    def serves(self, destination: int) -> bool:
+        """Whether a list has named that destination."""
+        return self._sender.serves(destination)
+
     def hand_in(self, message: Message, left_us: int, exchange: Exchange) -> None:
         """Answer a hand-in at once where the module need not be asked, else in the next round."""
         if (known := self._names.get(message.name)) is not None and not known.taken:
--- a/amberlug/server.py
+++ b/amberlug/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Mapping
+from enum import Enum
 from typing import Protocol
 
 import h11
@@ -13,10 +14,24 @@
 from stoatusher.interface import Effect, Settings
 
 BODY_MOST = 1 << 16
-UNREAD_MOST = 1 << 20  # of a longer body so much is read and passed over: closing at once would lose the 413
+UNREAD_MOST = 1 << 20  # so much is passed over behind an error: closing at once would lose the answer
+AHEAD_MOST = 1 << 16  # bytes kept beyond an open request; with more, it is the connection's last
+SWEEP = 0.25  # seconds between looks for connections whose time is up
 TOO_LONG = "the body is over 64 KiB"
 NAME_MOST = 128  # longest id or key
-CLIENTS_MOST = 500  # connections of clients at once: the rest of 1,024 descriptors is for endpoints
+FIELDS = ("req-id", "req-kind", "req-owner", "req-deadline-ms", "envelope", "idempotency-key")
+
+
+class Phase(Enum):
+    """What is waited for on a connection, and for how many seconds at most."""
+
+    ENDING = 0.5  # it has had its last answer, and what it still sends is passed over
+    READING = 2.0  # a whole request, from the connect or its first byte: 3 s are promised
+    RESTING = 8.0  # the next request: a client that asked once may keep its connection for good
+    ASKED = float("inf")  # the relay's own answer
+
+
+WAITING = (Phase.ENDING, Phase.READING, Phase.RESTING)  # in the order in which they make room
 
 
 class Node(Protocol):
@@ -24,6 +39,7 @@
 
     ready: bool
 
+    def serves(self, destination: int) -> bool: ...
     def hand_in(self, message: Message, left_us: int, exchange: Connection) -> None: ...
     def hung_up(self, exchange: Connection) -> None: ...
 
@@ -50,7 +66,12 @@
 
 
 def read_message(
-    settings: Settings, path: str, headers: Mapping[str, str], body: bytes, now_ms: int
+    settings: Settings,
+    serves: Callable[[int], bool],
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    now_ms: int,
 ) -> tuple[Message, int]:
     """Read a hand-in: the message and how long it has left, in microseconds."""
     name, class_name = _word(headers, "Req-Id"), _word(headers, "Req-Kind")
@@ -63,6 +84,9 @@
     left_ms = _digits(headers.get("req-deadline-ms", "").strip(), "Req-Deadline-Ms", 10**9)
     fields = dict(part.strip().partition("=")[::2] for part in headers.get("envelope", "").split(";"))
     destination = _digits(fields.get("dest", ""), "dest", 10**9)
+    # Guards against taking on what can't be sent, and a record of each number that a client thinks up.
+    if not serves(destination):
+        raise BadRequestError(404, "no such destination")
     keyed = message_class.effect is Effect.KEYED or "idempotency-key" in headers
     key = _word(headers, "Idempotency-Key") if keyed else None
     message = Message(name, class_name, tenant, destination, key, body, now_ms + left_ms)
@@ -78,13 +102,9 @@
         self._transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
         self._body = bytearray()
-        self._length = 0
-        self._asked = False
-        self._reading = False
-
-    @property
-    def idle(self) -> bool:
-        return self._http.states == {h11.CLIENT: h11.IDLE, h11.SERVER: h11.IDLE}
+        self._ahead = 0  # bytes read since the request was whole, or since its last answer
+        self._reading = self._stuck = False
+        self.phase = Phase.READING
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -92,23 +112,58 @@
         self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        self._server.used(self)
+        if self.phase in (Phase.ENDING, Phase.ASKED):
+            self._ahead += len(data)
+        if self.phase is Phase.ENDING:
+            if self._ahead > UNREAD_MOST:
+                self.abort()
+            return
+        # Guards against bytes that pile up ahead of an open request. They are read on and dropped: a hang-up
+        # stands behind them, and would not be seen while reading is paused.
+        if self._ahead > AHEAD_MOST:
+            return
+        if self.phase is Phase.RESTING:
+            self._server.enter(self, Phase.READING)
         self._http.receive_data(data)
         self._read()
 
     def connection_lost(self, error: Exception | None) -> None:
+        asked = self.phase is Phase.ASKED
         self._server.closed(self)
-        if self._asked:
-            self._asked = False
+        if asked:
             self._server.node.hung_up(self)
 
+    def pause_writing(self) -> None:
+        """Guard against answers that pile up for a client that sends and does not read."""
+        self._stuck = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        self._stuck = False
+        if self._transport is not None:
+            self._transport.resume_reading()
+            self._read()
+
     def close(self) -> None:
+        """Close it once what was answered is written."""
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def expire(self) -> None:
+        """End it where its time is up: with an answer where a request had begun."""
+        begun = self._request is not None or bool(self._http.trailing_data[0])
+        if self.phase is Phase.READING and begun and not self._stuck:
+            self.answer(408, "the request did not come in time")
+        else:
+            self.abort()
+
     def answer(self, status: int, text: str = "", retry_us: int = 0) -> None:
         """Answer the request that is being waited on; a client that has hung up is passed over."""
-        self._asked = False
         if self._transport is None or self._transport.is_closing():
             return
         body = f"{text}\n".encode() if text else b""
@@ -117,7 +172,7 @@
             headers.append(("Content-Type", "text/plain"))
         if retry_us > 0:
             headers.append(("Retry-After", f"{retry_us / 1e6:.3f}"))
-        unread = self._http.their_state is not h11.DONE
+        unread = self._http.their_state is not h11.DONE or self._ahead > AHEAD_MOST
         if unread or self._server.closing:
             headers.append(("Connection", "close"))
         with contextlib.suppress(h11.LocalProtocolError):
@@ -127,9 +182,16 @@
                 self._http.send(h11.EndOfMessage()),
             ]
             self._transport.write(b"".join(part for part in parts if part))
+        self._request, self._body, self._ahead = None, bytearray(), 0
         if self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             self._http.start_next_cycle()
+            more = bool(self._http.trailing_data[0])
+            self._server.enter(self, Phase.READING if more else Phase.RESTING)
             self._read()
+        elif unread:  # closing on what is still on its way would lose the answer
+            self._server.enter(self, Phase.ENDING)
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
         else:
             self._transport.close()
 
@@ -139,32 +201,32 @@
             return
         self._reading = True
         try:
-            while self._take(self._http.next_event()):
-                pass
+            while not self._stuck and self.phase in (Phase.READING, Phase.RESTING):
+                if not self._take(self._http.next_event()):
+                    break
         except h11.RemoteProtocolError as error:
-            if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                self.answer(error.error_status_hint, "the request can't be read")
-            self.close()
+            self.answer(error.error_status_hint, "the request can't be read")
         finally:
             self._reading = False
 
     def _take(self, event: object) -> bool:
         if isinstance(event, h11.Request):
-            self._request, self._body, self._length = event, bytearray(), 0
+            self._request = event
+            if (refusal := _refusal(event)) is not None:
+                self.answer(*refusal)
+                return False
             if self._http.they_are_waiting_for_100_continue and self._transport is not None:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 self._transport.write(self._http.send(go_on) or b"")
         elif isinstance(event, h11.Data):
-            self._length += len(event.data)
-            if self._length <= BODY_MOST:
-                self._body += event.data
-            elif self._length > UNREAD_MOST:
+            self._body += event.data
+            if len(self._body) > BODY_MOST:
                 self.answer(413, TOO_LONG)
                 return False
         elif isinstance(event, h11.EndOfMessage):
-            self._asked = True
+            self._server.enter(self, Phase.ASKED)
             self._dispatch()
-            return not self._asked
+            return self.phase is not Phase.ASKED
         elif isinstance(event, h11.ConnectionClosed):
             self.close()
         return isinstance(event, h11.Request | h11.Data)
@@ -174,40 +236,76 @@
         method, target = self._request.method.decode(), self._request.target.decode("latin-1")
         headers = {name.decode(): value.decode("latin-1") for name, value in self._request.headers}
         try:
-            if self._length > BODY_MOST:
-                raise BadRequestError(413, TOO_LONG)
             self._server.dispatch(self, method, target.partition("?")[0], headers, bytes(self._body))
         except BadRequestError as error:
             self.answer(error.status, str(error))
 
 
+def _refusal(request: h11.Request) -> tuple[int, str] | None:
+    """Tell why a request is refused by its head alone, with its connection."""
+    names = [name for name, _ in request.headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        # Guards against a second request that stands inside the body: which length holds can't be told.
+        return 400, "Content-Length and Transfer-Encoding contradict each other"
+    if any(names.count(name.encode()) > 1 for name in FIELDS):
+        return 400, "a field is given twice"
+    lengths = [int(value) for name, value in request.headers if name == b"content-length"]
+    return (413, TOO_LONG) if lengths and lengths[0] > BODY_MOST else None
+
+
 class Server:
     """All clients' connections; while it closes, each answer ends its connection."""
 
-    def __init__(self, settings: Settings, node: Node, now_ms: Callable[[], int]) -> None:
-        self._settings, self.node, self._now_ms = settings, node, now_ms
-        self._connections: dict[Connection, None] = {}  # the one used last at the end
+    def __init__(self, settings: Settings, node: Node, now_ms: Callable[[], int], most: int) -> None:
+        self._settings, self.node, self._now_ms, self._most = settings, node, now_ms, most
+        # When the time of each is up, by phase: one phase has one time, so the first in it is due first.
+        self._due: dict[Phase, dict[Connection, float]] = {phase: {} for phase in Phase}
+        self._sweeping: asyncio.TimerHandle | None = None
         self.closing = False
 
     def __call__(self) -> Connection:
         return Connection(self)
 
     def opened(self, connection: Connection) -> None:
-        """Take a connection in; past the most, the one that has been idle longest goes."""
-        self._connections[connection] = None
-        if len(self._connections) > CLIENTS_MOST:
-            next((it for it in self._connections if it.idle), connection).close()
-
-    def used(self, connection: Connection) -> None:
-        self._connections[connection] = self._connections.pop(connection, None)
+        """Take a connection in; past the most, one goes that has been silent, or else idle, the longest."""
+        self.enter(connection, Phase.READING)
+        if sum(map(len, self._due.values())) > self._most:
+            self._evict()
+        if self._sweeping is None:
+            self._sweep()
+
+    def _evict(self) -> None:
+        # Guards against running out of descriptors, on which asyncio accepts nobody for a second.
+        for phase in WAITING:
+            for connection in self._due[phase]:
+                del self._due[phase][connection]
+                connection.abort()
+                return
+
+    def enter(self, connection: Connection, phase: Phase) -> None:
+        self._due[connection.phase].pop(connection, None)
+        connection.phase = phase
+        self._due[phase][connection] = asyncio.get_running_loop().time() + phase.value
 
     def closed(self, connection: Connection) -> None:
-        self._connections.pop(connection, None)
+        self._due[connection.phase].pop(connection, None)
+
+    def _sweep(self) -> None:
+        """End the connections whose time is up; it goes on while there are any."""
+        loop = asyncio.get_running_loop()
+        for phase in WAITING:
+            for connection, due in list(self._due[phase].items()):
+                if due > loop.time():
+                    break
+                connection.expire()
+        there = any(self._due.values())
+        self._sweeping = loop.call_later(SWEEP, self._sweep) if there else None
 
     def close_idle(self) -> None:
         """Close the connections that carry no request."""
-        for connection in [it for it in self._connections if it.idle]:
-            connection.close()
+        for phase in (Phase.ENDING, Phase.RESTING):
+            for connection in list(self._due[phase]):
+                connection.close()
 
     def dispatch(
         self, connection: Connection, method: str, path: str, headers: Mapping[str, str], body: bytes
@@ -221,5 +319,6 @@
             raise BadRequestError(404, "no such path")
         if method != "POST":
             raise BadRequestError(405, "use POST")
-        message, left_us = read_message(self._settings, path, headers, body, self._now_ms())
+        serves = self.node.serves
+        message, left_us = read_message(self._settings, serves, path, headers, body, self._now_ms())
         self.node.hand_in(message, left_us, connection)
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -49,6 +49,10 @@
             if may_refuse(message) and kept < KEEP * message.worth_at(self.now, halving):
                 self.finish(message)
 
+    def serves(self, number: int) -> bool:
+        """Whether a list has named a destination; what no list has named is not taken on."""
+        return number in self.destinations
+
     def seen(self) -> tuple[api.Seen, ...]:
         """What a next life must know: outages that this relay saw, and limits that it learned."""
         return tuple(
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -210,7 +210,7 @@
     platform: Platform
     members: list[dict[str, Any]]
     settings: dict[str, Any]
-    disk_mb: float = 3.0
+    limits: dict[str, float]
     port: int = field(default_factory=free_port)
     process: asyncio.subprocess.Process | None = None
 
@@ -220,7 +220,7 @@
 
     def configure(self) -> None:
         self.config.write_text(json.dumps({
-            "name": "n0", "seed": "8c1f30d27a5be964", "limits": {"disk_mb": self.disk_mb},
+            "name": "n0", "seed": "8c1f30d27a5be964", "limits": self.limits,
             "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.platform.port}",
             "known": {"revision": 1, "complete": True, "members": self.members}, "settings": self.settings,
         }))  # fmt: skip
@@ -288,7 +288,11 @@
 
 @asynccontextmanager
 async def world(
-    folder: Path, *endpoints: StandIn, kind: str = "plain", disk_mb: float = 3.0, **changes: Any
+    folder: Path,
+    *endpoints: StandIn,
+    kind: str = "plain",
+    limits: dict[str, float] | None = None,
+    **changes: Any,
 ) -> AsyncIterator[tuple[Relay, Platform]]:
     """Start the relay, its platform and its endpoints, all of one destination."""
     platform = Platform()
@@ -298,7 +302,13 @@
             await endpoint.start()
     members = [member(endpoint.port, f"e{at}", kind=kind) for at, endpoint in enumerate(endpoints)]
     settings = setup(**({"Weights": "nominal"} | changes))
-    relay = Relay(folder, platform, members, settings, disk_mb)
+    relay = Relay(
+        folder,
+        platform,
+        members,
+        settings,
+        {"disk_mb": 3.0, "memory_mb": 64, "sockets": 256} | (limits or {}),
+    )
     await relay.start()
     try:
         yield relay, platform
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,141 @@
+"""Clients that send what can't be used, or nothing: each gets an error or a close, nothing is taken on."""
+
+import asyncio
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.rig import Relay, StandIn, hand_in, run, world
+
+HEAD = "POST /safe HTTP/1.1\r\nHost: a\r\n" + "".join(f"{k}: {v}\r\n" for k, v in hand_in("m1").items())
+IN_TIME = 3.0  # seconds from the connect to an error or a close
+
+
+async def exchange(relay: Relay, text: bytes) -> bytes:
+    """Send bytes on a new connection and read until the relay closes it."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+    writer.write(text)
+    said = b""
+    try:
+        while data := await reader.read(1 << 16):
+            said += data
+    except ConnectionError:
+        pass
+    writer.close()
+    return said
+
+
+def memory_mb(relay: Relay) -> float:
+    assert relay.process is not None
+    status = Path(f"/proc/{relay.process.pid}/status").read_text()
+    return int(status.partition("VmHWM:")[2].split()[0]) / 1000
+
+
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        (b"", b""),
+        (b"POST /sa", b"408"),
+        (HEAD.encode(), b"408"),
+        (f"{HEAD}Content-Length: 500\r\n\r\nhalf".encode(), b"408"),
+        (f"{HEAD}Content-Length: -5\r\n\r\nhello".encode(), b"400"),
+        (f"{HEAD}Content-Length: {10**12}\r\n\r\n".encode(), b"413"),
+        (f"{HEAD}Content-Length: {1 << 22}\r\n\r\n".encode() + b"x" * (1 << 19), b"413"),
+        (f"{HEAD}Req-Id: m2\r\nContent-Length: 0\r\n\r\n".encode(), b"400"),
+        (HEAD.encode() + b"a: b\r\n" * 10_000, b"431"),
+        (b"\x00\x01\x02\r\n\r\n", b"400"),
+    ],
+    ids=["silent", "part", "head", "half", "negative", "huge", "long", "twice", "endless", "noise"],
+)
+def test_what_is_no_request_is_answered_and_closed_in_time(
+    tmp_path: Path, text: bytes, status: bytes
+) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint) as (relay, _):
+            start = time.monotonic()
+            said = await exchange(relay, text)
+            assert time.monotonic() - start < IN_TIME
+            assert said[9:12] == status
+            await relay.hand_in("last")
+            assert [seen.name for seen in await endpoint.requests(1)] == ["last"]
+
+    run(scenario())
+
+
+def test_a_request_hidden_in_a_body_is_not_passed_on(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint) as (relay, _):
+            hidden = HEAD.replace("m1", "m2") + "Content-Length: 0\r\n\r\n"
+            body = f"0\r\n\r\n{hidden}"
+            both = f"{HEAD}Content-Length: {len(body)}\r\nTransfer-Encoding: chunked\r\n\r\n{body}"
+            assert (await exchange(relay, both.encode()))[9:12] == b"400"
+            await relay.hand_in("last")
+            assert [seen.name for seen in await endpoint.requests(1)] == ["last"]
+
+    run(scenario())
+
+
+def test_a_destination_that_no_list_has_named_is_turned_away(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with world(tmp_path, StandIn()) as (relay, _):
+            assert (await relay.hand_in("m1", Envelope="dest=2")).status == 404
+            assert (await relay.hand_in("m1", Envelope="dest=1")).status == 202
+
+    run(scenario())
+
+
+def test_silent_connections_past_the_descriptors_leave_room_for_clients_and_calls(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint, limits={"sockets": 100}) as (relay, platform):
+            await platform.watched(1)
+            assert relay.process is not None
+            silent = [await asyncio.open_connection("127.0.0.1", relay.port) for _ in range(300)]
+            start = time.monotonic()
+            for count in range(5):
+                assert (await relay.hand_in(f"m{count}")).status == 202
+                assert len(list(Path(f"/proc/{relay.process.pid}/fd").iterdir())) < 100
+            await endpoint.requests(5)
+            for reader, writer in silent:  # each is closed, the late ones when their time is up
+                with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                    await reader.readexactly(1)
+                writer.close()
+            assert time.monotonic() - start < IN_TIME
+
+    run(scenario())
+
+
+def test_a_client_that_hangs_up_behind_what_it_sent_ahead_takes_nothing_on(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        async with world(tmp_path, endpoint, GranularityUs=1_000_000) as (relay, _):
+            await relay.hand_in("m0")  # the next round is a second away
+            with socket.create_connection(("127.0.0.1", relay.port)) as client:
+                client.setblocking(False)
+                loop = asyncio.get_running_loop()
+                client.send(f"{HEAD}Content-Length: 0\r\n\r\n".encode())
+                for _ in range(1000):  # 64 MB: what the relay keeps of it shows in its memory
+                    await loop.sock_sendall(client, b"x" * (1 << 16))
+            assert (await relay.hand_in("last")).status == 202
+            assert [seen.name for seen in await endpoint.requests(2)] == ["m0", "last"]
+            assert memory_mb(relay) < 60
+
+    run(scenario())
+
+
+def test_a_client_that_asks_once_and_stays_is_let_go(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with world(tmp_path, StandIn()) as (relay, _):
+            reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+            writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await reader.readuntil(b"up\n")).startswith(b"HTTP/1.1 200")
+            start = time.monotonic()
+            assert await reader.read() == b""
+            assert time.monotonic() - start > 2.0  # not before: it may ask again
+            writer.close()
+
+    run(scenario())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -269,7 +269,7 @@
 
     async def scenario() -> None:
         settings = read_settings(setup(GranularityUs=50_000))
-        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1))
+        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9)
         node.restore()
         exchange = Told()
         node.hand_in(Message("m1", "safe", None, 1, None, b"", 10**15), SECOND, exchange)
@@ -298,7 +298,7 @@
     async def scenario() -> None:
         endpoint = await StandIn().start()
         settings = read_settings(setup(Weights="nominal"))
-        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1))
+        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9)
         kinds = list(settings.kinds)
         node.listed(read_news(json.loads(news(member(endpoint.port))), kinds))
         node.restore()
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -186,7 +186,7 @@
 def test_a_message_that_the_journal_cannot_hold_is_refused(tmp_path: Path) -> None:
     async def scenario() -> None:
         endpoint = StandIn(None)
-        async with world(tmp_path, endpoint, disk_mb=0.1) as (relay, _):
+        async with world(tmp_path, endpoint, limits={"disk_mb": 0.1}) as (relay, _):
             headers = {"Req-Kind": "unsafe", "Req-Deadline-Ms": "8000", "Envelope": "dest=1"}
             statuses = []
             for count in range(8):
