Trust of a spoilt answer only a first line with 200, and nothing behind an answer

Checked in tests over loopback: a 429 or 503 whose head or length is broken let an unsafe message go again (calls.py, _converse: LinkLostError's head went through ending()); a copy behind an answer or on an idle connection ended the next call (link.py: h11 keeps the bytes, and parses a response while idle); an answer without end held call and slot to the deadline. An answer shifted by one call explains the lost and the early ones as well. Mend: bytes beyond an answer, or on an idle connection, close it; one with anything unread is not used; an answer has 0.5 s from its first byte to its last. What is spoilt is a result of its own (SPOILT): it may have run and tells nothing of the endpoint's health, unless it answers one message and its first line says 200. Figures in it are bounded. A call's task that ends by an error still gives each attempt an outcome.

--- a/amberlug/calls.py
+++ b/amberlug/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any
 
@@ -11,6 +12,7 @@
 from stoatusher.interface import Result, Settings
 
 IDLE_MARGIN = 0.5  # seconds that an idle connection is closed before the endpoint may close it
+WAIT_MOST_MS = 3_600_000  # longest told wait that is kept
 BATCH_ENDS = {
     "ok": Ending(Result.DONE),
     "error": Ending(Result.ERROR),
@@ -31,13 +33,19 @@
             found[name] = float(value)
         except ValueError:
             return ()
+        # Guards against figures that no endpoint can mean: they would pass into an account's limit.
+        if not 0 <= found[name] < math.inf:
+            return ()
     return tuple(found.get(name, 0.0) for name in names) if names else ()
 
 
 def wait_us(reply: Reply) -> int:
     """Read the told wait; one that can't be read is none."""
     text = reply.headers.get("wait-ms", "").strip()
-    return int(text) * 1000 if text.isascii() and text.isdigit() else 0
+    if not (text.isascii() and text.isdigit()):
+        return 0
+    # Guards against digits without end, on which int() raises; no message lives as long as the longest wait.
+    return min(int(text[:18]), WAIT_MOST_MS) * 1000
 
 
 def ending(reply: Reply, names: Sequence[str]) -> Ending:
@@ -69,7 +77,10 @@
 
 
 def lost(error: LinkLostError) -> Ending:
-    """Tell what a lost connection means: only a request that was written may have run."""
+    """Tell what a lost connection means: what was written or had an answer may have run."""
+    # Guards against trusting a spoilt head: a 429 there does not tell that the call never ran.
+    if error.answered:
+        return Ending(Result.SPOILT)
     return Ending(Result.RESET if error.written else Result.UNCONNECTED)
 
 
@@ -214,17 +225,26 @@
             self._end(attempt, how)
 
     async def _call(self, endpoint: str, attempts: list[Attempt], nudge: asyncio.Event) -> None:
-        until = max(attempt.until_us for attempt in attempts)
-        link = await self._pool.take(endpoint, max(0.0, (until - self._clock()) / 1e6))
-        if link is None:
-            self._end_all(attempts, Ending(Result.UNCONNECTED))
-            return
+        try:
+            until = max(attempt.until_us for attempt in attempts)
+            link = await self._pool.take(endpoint, max(0.0, (until - self._clock()) / 1e6))
+            if link is None:
+                self._end_all(attempts, Ending(Result.UNCONNECTED))
+                return
+            try:
+                await self._use(link, attempts, nudge)
+            finally:
+                self._pool.give(endpoint, link)
+        finally:
+            # Guards against an error that leaves an attempt without an outcome, and its slot taken for good.
+            self._end_all(attempts, Ending(Result.RESET))
+
+    async def _use(self, link: Link, attempts: list[Attempt], nudge: asyncio.Event) -> None:
         # A dial takes time: what a drain, a wait or an end forbids by now is not sent.
         cleared = self._clear(attempts)
         self._end_all([attempt for attempt in attempts if attempt not in cleared], Ending(Result.UNSENT))
         if cleared:
             await self._converse(link, cleared, nudge)
-        self._pool.give(endpoint, link)
 
     async def _converse(self, link: Link, attempts: list[Attempt], nudge: asyncio.Event) -> None:
         reply = self._write(link, attempts)
@@ -241,9 +261,8 @@
         try:
             self._read(reply.result(), attempts)
         except LinkLostError as error:
-            single = len(attempts) == 1 and error.head is not None
-            how = ending(error.head, self._settings.report_names) if single and error.head else lost(error)
-            self._end_all(attempts, how)
+            done = error.ok and len(attempts) == 1  # of several, only the whole answer tells each one's end
+            self._end_all(attempts, Ending(Result.DONE) if done else lost(error))
 
     def _write(self, link: Link, attempts: list[Attempt]) -> asyncio.Future[Reply]:
         left_ms = max(1, (max(it.until_us for it in attempts) - self._clock()) // 1000)
@@ -281,26 +300,29 @@
         return min((attempt.until_us for attempt in alive), default=now) - now
 
     async def _probe(self, endpoint: str, ended: Callable[[Ending], None]) -> None:
-        seconds = self._settings.dial_us / 1e6
+        how = Ending(Result.RESET)
+        try:
+            how = await self._sound_out(endpoint)
+        finally:
+            ended(how)
+
+    async def _sound_out(self, endpoint: str) -> Ending:
+        seconds, names = self._settings.dial_us / 1e6, self._settings.report_names
         link = await self._pool.take(endpoint, seconds)
         if link is None:
-            ended(Ending(Result.UNCONNECTED))
-            return
-        names = self._settings.report_names
+            return Ending(Result.UNCONNECTED)
         try:
             async with asyncio.timeout(seconds):
                 reply = await link.request("GET", "/metrics/load" if names else "/alive", [])
         except TimeoutError:
             link.close()
-            ended(Ending(Result.TIMED_OUT))
-            return
+            return Ending(Result.TIMED_OUT)
         except LinkLostError as error:
-            ended(lost(error))
-            return
+            return lost(error)
         self._pool.give(endpoint, link)
         how = ending(reply, names)
         told = how.report or report(reply.body.decode("latin-1"), names)
-        ended(Ending(how.result, how.wait_us, report=told))
+        return Ending(how.result, how.wait_us, report=told)
 
 
 def _frame(attempt: Attempt) -> bytes:
--- a/amberlug/link.py
+++ b/amberlug/link.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import contextlib
+import re
+import select
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import h11
 
 BODY_MOST = 1 << 18  # longest answer that is kept: bounds memory against a broken peer
+WHOLE_FOR = 0.5  # seconds from an answer's first byte to its last; they leave together
+LINE_MOST = 256  # bytes kept of an answer's start, for its first line
+_OK_LINE = re.compile(rb"HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n")
 
 Headers = Sequence[tuple[str, str]]
 
@@ -22,12 +27,13 @@
 
 
 class LinkLostError(Exception):
-    """The connection ended before the answer did."""
+    """The connection ended before the answer did, or the answer could not be read."""
 
-    def __init__(self, written: bool, head: Reply | None) -> None:
+    def __init__(self, written: bool, said: bytes = b"") -> None:
         super().__init__("connection lost")
         self.written = written  # whether the request's last byte had left
-        self.head = head  # the answer's first line and headers, if they came
+        self.answered = bool(said)  # whether an answer had begun
+        self.ok = _OK_LINE.match(said) is not None  # whether its first line says 200: that alone is true
 
 
 class Link(asyncio.Protocol):
@@ -41,6 +47,8 @@
         self._waiter: asyncio.Future[Reply] | None = None
         self._sink: Callable[[bytes], None] | None = None
         self._unwritten = False
+        self._said = b""  # how the answer begins
+        self._limit: asyncio.TimerHandle | None = None
         self.on_lost: Callable[[Link], None] | None = None
 
     @property
@@ -48,7 +56,14 @@
         """Whether another request may be written now."""
         transport = self._transport
         idle = self._http.our_state is h11.IDLE and self._http.their_state is h11.IDLE
-        return transport is not None and not transport.is_closing() and idle
+        return transport is not None and not transport.is_closing() and idle and not self._stirs(transport)
+
+    def _stirs(self, transport: asyncio.Transport) -> bool:
+        """Whether anything unread has come: on an idle connection its end, or what belongs to no request."""
+        # Guards against a late copy that is taken for the next call's answer, and a call that meets a close.
+        poll = select.poll()
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -73,9 +88,9 @@
         """Write a request; the answer's body goes to `sink` as it comes, if there is one."""
         self._waiter = asyncio.get_running_loop().create_future()
         if not self.usable or self._transport is None:
-            self._waiter.set_exception(LinkLostError(written=False, head=None))
+            self._waiter.set_exception(LinkLostError(written=False))
             return self._waiter
-        self._reply, self._sink = None, sink
+        self._reply, self._sink, self._said = None, sink, b""
         peer = self._transport.get_extra_info("peername")
         head = [("Host", f"{peer[0]}:{peer[1]}"), *headers, ("Content-Length", str(len(body)))]
         parts = [
@@ -92,6 +107,13 @@
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        if self._waiter is None or self._waiter.done():
+            self.close()  # guards against what belongs to no request: it would end the next one
+            return
+        if self._limit is None and self._sink is None:
+            self._limit = asyncio.get_running_loop().call_later(WHOLE_FOR, self.close)
+        if self._reply is None:
+            self._said = (self._said + data)[:LINE_MOST]
         self._http.receive_data(data)
         self._read()
 
@@ -101,8 +123,10 @@
         self._read()
 
     def connection_lost(self, error: Exception | None) -> None:
+        if self._limit is not None:
+            self._limit.cancel()
         if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(LinkLostError(not self._unwritten, self._reply))
+            self._waiter.set_exception(LinkLostError(not self._unwritten, self._said))
             self._waiter.exception()  # it may be that nobody waits any more
         if self.on_lost is not None:
             self.on_lost(self)
@@ -115,7 +139,9 @@
             self.close()
 
     def _take(self, event: object) -> bool:
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._said = self._http.trailing_data[0][:LINE_MOST]  # the answer proper begins behind it
+        elif isinstance(event, h11.Response):
             self._reply = Reply(
                 event.status_code, {name.decode(): value.decode("latin-1") for name, value in event.headers}
             )
@@ -133,10 +159,14 @@
 
     def _finish(self) -> None:
         waiter, reply = self._waiter, self._reply
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+        if self._limit is not None:
+            self._limit.cancel()
+            self._limit = None
+        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if done and not self._http.trailing_data[0]:
             self._http.start_next_cycle()
         else:
-            self.close()
+            self.close()  # what has come behind an answer would be taken for the next one
         if waiter is not None and reply is not None and not waiter.done():
             waiter.set_result(reply)
 
--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -45,7 +45,7 @@
 REUSES = 2  # so many calls within the time that an idle connection lives make it worth keeping
 HOLD = 0.95  # share of MaxOpen above which this relay chooses whom to refuse
 ASK_AGAIN_US = SECOND // 2  # first pause before asking the list again, doubled up to a quarter of AskWithin
-MAY_HAVE_RUN = (Result.ERROR, Result.TIMED_OUT, Result.RESET, Result.CALLED_OFF)
+MAY_HAVE_RUN = (Result.ERROR, Result.TIMED_OUT, Result.RESET, Result.CALLED_OFF, Result.SPOILT)
 
 
 class Account:
@@ -281,7 +281,7 @@
             told = dict(zip(self.settings.report_names, report, strict=False)).get("x1", 0.0)
             if told > 0 and abs(told / (account.rate or OPEN) - 1) > RATE_NOISE:
                 account.set_rate(told)
-            if result not in (Result.UNSENT, Result.CALLED_OFF):  # this relay's own doing
+            if result not in (Result.UNSENT, Result.CALLED_OFF, Result.SPOILT):  # they tell nothing of health
                 self.judge(endpoint, call.start_us, result, wait_us)
         if call.left == 0:
             self.end_call(call, reusable=result in (Result.DONE, Result.ERROR, Result.REFUSED))
--- a/stoatusher/interface.py
+++ b/stoatusher/interface.py
@@ -51,6 +51,7 @@
     TIMED_OUT = "timed out"
     UNCONNECTED = "unconnected"
     RESET = "reset"
+    SPOILT = "spoilt"  # an answer that can't be read: it may have run, and tells nothing of the endpoint
     CALLED_OFF = "called off"
     UNSENT = "unsent"
 
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,133 @@
+"""Answers that come spoilt, or with more than belongs to them."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from amberlug.calls import report, wait_us
+from amberlug.link import Reply
+from stoatusher.interface import Result
+from tests.conftest import Relay, of
+from tests.rig import OK, Seen, StandIn, run, world
+
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+def raw(text: bytes) -> Callable[[Seen], bool]:
+    """Answer the first call with bytes, the others as usual; the connection stays open."""
+    left = [text]
+
+    def answer(seen: Seen) -> bool:
+        if not left:
+            return False
+        seen.writer.write(left.pop())
+        return True
+
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("text", "delivered"),
+    [
+        (b"\x00\xffnoise", False),
+        (b"HTTP/1.1 429 Slow\r\nWait-Ms 500\r\n\r\n", False),
+        (b"HTTP/1.1 503 No\r\nContent-Length: 500\r\n\r\nshort", False),
+        (b"HTTP/1.1 429 Slow\r\nA: " + b"x" * 100_000, False),
+        (b"HTTP/1.1 503 No\r\nContent-Length: -3\r\n\r\n", False),
+        (b"HTTP/1.1 200", False),
+        (b"HTTP/1.1 200 OK\r\n: : :\r\n\r\n", True),
+        (b"HTTP/1.1 200 OK\r\nA: " + b"x" * 100_000, True),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 500_000, True),
+        (b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n", True),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nless", True),
+    ],
+    ids=[
+        "noise",
+        "head",
+        "short",
+        "endless",
+        "negative",
+        "cut",
+        "head200",
+        "endless200",
+        "huge200",
+        "early200",
+        "short200",
+    ],
+)
+def test_of_a_spoilt_answer_only_a_first_line_with_200_is_true(
+    tmp_path: Path, text: bytes, delivered: bool
+) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        endpoint.on_request = raw(text)
+        async with world(tmp_path, endpoint) as (relay, platform):
+            assert (await relay.hand_in("m1", "unsafe")).status == 202
+            await endpoint.requests(1)
+            await endpoint.until(lambda: endpoint.closed == 1)  # it is of no further use
+            await relay.hand_in("m2")
+            assert [seen.name for seen in await endpoint.requests(2)] == ["m1", "m2"]
+            if not delivered:
+                assert await platform.noticed() == [{"message": "m1", "outcome": "given_up"}]
+            assert len(platform.notices) == (0 if delivered else 1)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("more", [GOOD, b"noise", b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"])
+@pytest.mark.parametrize("later", [False, True])
+def test_what_is_behind_an_answer_never_ends_the_next_call(tmp_path: Path, more: bytes, later: bool) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn()
+        endpoint.on_request = raw(GOOD if later else GOOD + more)
+        async with world(tmp_path, endpoint) as (relay, platform):
+            await relay.hand_in("m1", "unsafe")
+            (first,) = await endpoint.requests(1)
+            if later:
+                await asyncio.sleep(0.1)  # the good answer has been read: the connection is idle
+                first.writer.write(more)
+            await endpoint.until(lambda: endpoint.closed == 1)
+            endpoint.usual = (500, [], b"")
+            await relay.hand_in("m2", "unsafe")
+            assert await platform.noticed() == [{"message": "m2", "outcome": "given_up"}]
+
+    run(scenario())
+
+
+def test_a_spoilt_answer_to_several_may_have_run_for_each(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(OK, None)
+        async with world(tmp_path, endpoint, kind="bundled", FamilyInfo__Slots=1) as (relay, platform):
+            await relay.hand_in("m1", "unsafe")
+            (out,) = await endpoint.requests(1)
+            for name in ("a", "b"):
+                await relay.hand_in(name, "unsafe")
+            endpoint.on_request = raw(b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\na ok\r\nb ok\r\n")
+            out.answer(OK)
+            ends = await platform.noticed(2)
+            assert {(it["message"], it["outcome"]) for it in ends} == {("a", "given_up"), ("b", "given_up")}
+
+    run(scenario())
+
+
+def test_spoilt_answers_are_no_outage(relay: Callable[..., Relay]) -> None:
+    it = relay()
+    it.listed("a")
+    for ref in range(1, 9):
+        assert of(it.step(it.take("unsafe")), object)
+        it.answer(ref, 0, Result.SPOILT)
+        it.now += 1_000_000
+    assert len(it.sent) == 8  # nothing was held back
+    assert not it.sender.endpoints["a"].cold
+
+
+@pytest.mark.parametrize("text", ["x0=nan", "x0=inf", "x0=-1", "x0=1,x0=", "\xb2"])
+def test_a_load_report_that_means_nothing_is_none(text: str) -> None:
+    assert report(text, ("x0",)) == ()
+
+
+def test_a_wait_without_end_is_bounded() -> None:
+    waits = [wait_us(Reply(429, {"wait-ms": text})) for text in ("9" * 5000, "250", "-1", "1e3", "\xb2")]
+    assert waits == [3_600_000_000, 250_000, 0, 0, 0]
