--- a/amberlug/journal.py
+++ b/amberlug/journal.py
@@ -91,7 +91,9 @@
         self._path, self._aside = folder / "journal.log", folder / "journal.new"
         self._most = int(disk_bytes * SHARE) // BLOCK * BLOCK
         self._needed: dict[str, list[bytes]] = {}
-        self._needed_bytes = self._size = 0
+        self._needed_bytes = self._size = self._compacted = (
+            0  # and the size of the file as it was last compacted
+        )
         self._ended: dict[str, int] = {}  # names of messages that are over, until their time is up
         self.held: dict[str, Held] = {}
         self.memory = Memory(0, 0)
@@ -154,8 +156,12 @@
         self._ended[name] = until_ms
         self._now_ms = now_ms
         self._note(None, _record(b"E", {"id": name, "until": until_ms}))
-        if self._size > max(SMALL, 2 * self._needed_bytes):
-            self._compact()
+        # Guards against compacting at each end: what is kept of ended messages alone may be over SMALL.
+        if self._size > max(SMALL, 2 * self._compacted):
+            try:
+                self._compact()
+            except OSError as error:
+                log(f"journal: {error}")
 
     def _forget(self, name: str) -> None:
         self._needed_bytes -= sum(map(len, self._needed.pop(name, ())))
@@ -186,15 +192,15 @@
     def _compact(self) -> None:
         """Write what is needed aside and put it in the old file's place."""
         self._ended = {name: until for name, until in self._ended.items() if until > self._now_ms}
-        ended = [_record(b"E", {"id": name, "until": until}) for name, until in self._ended.items()]
+        ended = _record(b"F", {"id": "", "ended": self._ended})  # in one: they are many, and each is short
         needed = [record for records in self._needed.values() for record in records]
-        data = b"".join([*needed, *ended, self._memory_record()])
+        data = b"".join([*needed, ended, self._memory_record()])
         self._aside.write_bytes(data)
         self._aside.replace(self._path)
         if self._file >= 0:
             os.close(self._file)
         self._file = os.open(self._path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
-        self._size = len(data)
+        self._size = self._compacted = len(data)
 
     def _replay(self) -> None:
         data = self._path.read_bytes() if self._path.exists() else b""
@@ -211,6 +217,9 @@
             seen = (api.Seen(*row) for row in fields["seen"])
             self.memory = Memory(fields["wall"], fields["clock"], tuple(seen))
             return
+        if kind == b"F":
+            self._ended.update(fields["ended"])
+            return
         if kind == b"E":
             self._forget(name)
             self.held.pop(name, None)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -183,6 +183,27 @@
     assert list(opened(tmp_path, 400_000).held) == ["kept"]
 
 
+def test_names_of_many_ended_messages_do_not_make_each_end_compact(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    compactions, compact = [], Journal._compact
+
+    def counted(journal: Journal) -> None:
+        compactions.append(journal)
+        compact(journal)
+
+    monkeypatch.setattr(Journal, "_compact", counted)
+    journal = opened(tmp_path, 3_000_000)
+    for count in range(12_000):
+        name = f"{count:016x}"
+        journal.take(message(name, 100))
+        journal.end(name, 4000 + count, count)
+        assert used(tmp_path) < 1_500_000
+    assert journal.knows(f"{11_000:016x}")
+    assert opened(tmp_path).knows(f"{11_000:016x}")
+    assert len(compactions) < 30
+
+
 def test_a_message_that_the_journal_cannot_hold_is_refused(tmp_path: Path) -> None:
     async def scenario() -> None:
         endpoint = StandIn(None)
