Cut a learned M once for calls that were out together, and keep a part of the listed rate

Checked: decide.py, Account.refused: each refusal cuts M again, also those of calls sent before the first one was answered; from 0.2 the way back is 1.25 a window that is itself stretched. Mend: once per generation, floor 0.7; room is made for one in a hundred at a time; Message.worth_at is leaner.

--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -1,9 +1,8 @@
 """When, where and whether each message is sent: every decision of a relay, and every tuned value.
 
-Types, events and actions: `stoatusher/interface.py`; records: `stoatusher/state.py`. Times: microseconds.
-Ordinary path: an `Account` may spend M units in a window w that slides by steps s. One call is one unit:
-reserved while out (r), consumed in its start's bucket once answered (c). It goes only if c + r + 1 <= M,
-else a timer is set at the computed opening. What departs from this says so where it stands.
+Types, events, actions: `stoatusher/interface.py`; records: `stoatusher/state.py`. Ordinary path: an `Account`
+may spend M units in a window w that slides by steps s. A call is a unit: reserved while out (r), consumed in
+its start's bucket once answered (c). It goes only if c + r + 1 <= M, else at a timer at the computed opening.
 """
 
 import itertools
@@ -27,6 +26,7 @@
 KEPT = 128  # buckets, and starts for the cold bound, that are kept: bounds memory
 SHUT = 3  # windows of one told wait that look like a destination that is shut
 TRIES = 2  # w is stretched to no more than the longest life over this: fewer tries leave more to others
+FLOOR = 0.7  # part of an even part of a listed rate that a learned M keeps: less starves what the limit takes
 BACK_OFF = 0.55, 1.0  # what a refusal leaves of a learned M of one or less; drawn, so that relays part ways
 CROWD = 0.25  # power of the number of relays that divides it: more may stand in line unseen
 PATIENCE = 10  # usual answer times until an answer is overdue; fewer give up work that would be done
@@ -43,7 +43,7 @@
 SPREAD = 0.7, 1.3  # drawn part of that window: relays that fail together must not come back together
 LEAST_TABLE = 4  # connections that a small table is taken to hold for relays that keep theirs
 REUSES = 2  # so many calls within the time that an idle connection lives make it worth keeping
-HOLD = 0.95  # share of MaxOpen above which this relay chooses whom to refuse
+HOLD, MAKE_ROOM = 0.95, 100  # above this share of MaxOpen it refuses the least, one in so many: ranking costs
 ASK_AGAIN_US = SECOND // 2  # first pause before asking the list again, doubled up to a quarter of AskWithin
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMED_OUT, Result.RESET, Result.CALLED_OFF, Result.SPOILT)
 
@@ -106,11 +106,10 @@
 
     def refused(self, now_us: int, part: float) -> None:
         """Learn M from a refusal: what the window holds of calls that were taken on, or less and less."""
-        # An M below one is one unit in a w as much longer. Guards against many relays that spend one each,
-        # where refused calls use up a limit. Should also spare what is shut. Harms whom chance refused.
+        # M below one: one unit in a longer w, against many relays that spend one each where refusals count.
         limit, least = self.limit(now_us), max(1.0, self.even)
         taken_on = sum(done for *_, done in self.buckets.inside(now_us, self.window))
-        lowest = min(self.even or OPEN, self.window / self.longest)  # all relays at it stay within a limit
+        lowest = min(self.even or OPEN, max(FLOOR * self.even, self.window / self.longest))
         lower = max(limit * part / self.settings.relays**CROWD, lowest)
         self.learned = max(least, taken_on) if limit > least else lower
         self.learned_us, self.stretched = now_us, int(self.window / min(1.0, self.learned))
@@ -126,7 +125,7 @@
 def may_refuse(message: Message) -> bool:
     """Whether the client may safely come again."""
     keyed = message.kind.effect is Effect.KEYED and message.kind.group is Group.ALL
-    return not message.exposed() or message.kind.effect is Effect.SAFE or keyed
+    return not (message.ran or message.out) or message.kind.effect is Effect.SAFE or keyed
 
 
 class Sender(Records):
@@ -166,8 +165,7 @@
 
     def close_idle(self) -> None:
         """Keep a connection only where this relay will want it again before it closes by itself."""
-        # Guards against tables full of connections that idle, which one that calls seldom gains nothing from.
-        # Should also spare calls on those dropped unseen. Harms where bursts are far apart: a handshake each.
+        # Guards against tables full of idle connections. Harms where bursts are far apart: a handshake each.
         for endpoint in self.rested:
             late = [at_us for at_us in endpoint.starts if at_us > self.now - self.settings.idle_us]
             crowd = self.settings.relays / LEAST_TABLE  # in a small table it must earn its place
@@ -233,7 +231,8 @@
         if len(self.messages) > self.settings.max_open * HOLD:
             # Holding nears its limit: refuse what has least worth to be had, where that is harmless.
             able = [other for other in self.messages.values() if not other.out and may_refuse(other)]
-            for least in sorted(able, key=lambda other: other.worth_at(self.now, self.settings.halving))[:1]:
+            able.sort(key=lambda other: other.worth_at(self.now, self.settings.halving))
+            for least in able[: 1 + self.settings.max_open // MAKE_ROOM]:
                 self.finish(least)
 
     def share(self, tenant: str | None) -> float:
@@ -300,7 +299,9 @@
                 endpoint.back_us = self.now
             return
         if result is Result.REFUSED:
-            account.refused(self.now, self.chance.uniform(*BACK_OFF))
+            # Guards against calls that were out together: refused one by one, each would cut M to less.
+            if start_us > account.learned_us:
+                account.refused(self.now, self.chance.uniform(*BACK_OFF))
             if wait_us < SHUT * account.window:
                 return  # the limit spoke, not an outage
         if result is Result.UNCONNECTED:
@@ -410,8 +411,7 @@
 
     def free_slots(self, destination: Destination) -> None:
         self.starved[destination] = None
-        # With all slots taken, call off what is overdue, or silence and hung calls would hold them for the
-        # whole time of their messages. It harms where all is merely slow: an unsafe one called off is lost.
+        # With all slots taken, call off what is overdue, or hung calls keep them. Harms slow unsafe ones.
         due = {key: it.start_us + it.endpoint.account.patience_us() for key, (_, it) in self.calls.items()}
         late = [key for key, at_us in due.items() if at_us <= self.now and self.settings.may_cancel]
         self.actions += [api.CallOff(*key) for key in late]
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -9,11 +9,12 @@
 
 from stoatusher import interface as api
 from stoatusher.decide import MAY_HAVE_RUN, Account, Sender, may_refuse, may_repeat
-from stoatusher.interface import Group, State
+from stoatusher.interface import Effect, Group, State
 from stoatusher.state import NEVER, Call, Destination, Endpoint, Message
 
 LEAST_ADVICE_US = 500_000  # how long a refused client stays away at least: a queue takes as long to go
 AWAY_US = 5_000_000  # how long a planned restart takes: ending, starting, and what waits by then
+ON_ITS_WAY_US = 300_000  # how long a send that leaves may take to reach an endpoint
 KEEP = 0.75  # a message that keeps less of its worth over a planned restart is handed back for another relay
 
 
@@ -107,8 +108,12 @@
 
     def may_start(self, now_us: int, ref: int, name: str) -> bool:
         """Whether a send that was decided on may still leave: no drain, wait or end has come since."""
-        endpoint = self.endpoints.get(name)
-        return ref in self.messages and endpoint is not None and endpoint.account.blocked_until <= now_us
+        endpoint, message = self.endpoints.get(name), self.messages.get(ref)
+        if endpoint is None or message is None or endpoint.account.blocked_until > now_us:
+            return False
+        # Guards against a keyed message whose key runs out between the decision and the last byte.
+        oldest = now_us + ON_ITS_WAY_US - message.kind.key_life_us
+        return message.kind.effect is not Effect.KEYED or all(call.start_us > oldest for call in message.ran)
 
     def finish(self, message: Message) -> None:
         """Give the final answer, a refusal with the time at which this relay could send again."""
--- a/stoatusher/state.py
+++ b/stoatusher/state.py
@@ -96,10 +96,18 @@
 
     def worth_at(self, at_us: int, halving: bool) -> float:
         """Worth still to be had by an answer at that time."""
-        kind, over = self.kind, max(0, at_us - self.aim_us)
-        even = 1 - (1 - kind.late_worth) * over / max(1, kind.deadline_us - kind.aim_us)
-        left = max(kind.late_worth, 0.5 ** (over / max(1, kind.aim_us))) if halving else even
-        return float(self.worth * left * (at_us < self.deadline_us))
+        if at_us >= self.deadline_us:
+            return 0.0
+        kind = self.kind
+        late_for, over = (
+            kind.deadline_us - kind.aim_us,
+            at_us - self.deadline_us + kind.deadline_us - kind.aim_us,
+        )
+        if over <= 0:
+            return self.worth
+        if halving:
+            return float(self.worth * max(kind.late_worth, 0.5 ** (over / max(1, kind.aim_us))))
+        return self.worth * (1 - (1 - kind.late_worth) * over / max(1, late_for))
 
     def exposed(self) -> list[Call]:
         """Attempts that may have run, those still out among them."""
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -182,3 +182,26 @@
         relay.answer(1, 0, Result.REFUSED, wait_us=5 * SECOND)
         spreads.add(relay.sender.endpoints["a"].spread)
     assert len(spreads) == 5
+
+
+def test_refusals_of_calls_that_were_out_together_cut_a_learned_limit_once() -> None:
+    relay = Relay(Weights="nominal", FamilyInfo__Slots=40)
+    relay.listed("a", rate=20.0)
+    for _ in range(8):
+        relay.step(relay.take())
+    assert len(relay.sent) == 8
+    account = relay.sender.endpoints["a"].account
+    relay.now += 100_000
+    relay.answer(1, 0, api.Result.REFUSED)
+    learned = account.learned
+    for ref in range(2, 9):  # guards against a limit that falls to nothing in one round trip
+        relay.now += 1000
+        relay.answer(ref, 0, api.Result.REFUSED)
+    assert account.learned == learned
+
+
+def test_a_learned_limit_keeps_a_part_of_what_the_list_gives_this_relay() -> None:
+    account = Account(read_settings(setup(Balancers=2)), 40.0)
+    for second in range(10, 40):
+        account.refused(second * SECOND // 2, 0.55)
+    assert account.learned == pytest.approx(0.7 * 40 / 2)
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -87,3 +87,10 @@
     entry = api.Entry("a", "north", "plain", 1, State.DRAINING, 5.0)
     sender.step(START + 3 + SECOND, [api.Listed(api.ListKind.PATCH, (entry,))])
     assert not sender.may_start(START + 3 + SECOND, 2, "a")
+
+
+def test_a_keyed_repeat_does_not_leave_where_its_key_may_be_forgotten_on_its_way() -> None:
+    sender = lasting()
+    sender.step(START + 1, [api.Resumed(taken(1, "keyed"), 1, (api.Earlier("a", SECOND, None),))])
+    assert sender.may_start(START + 2, 1, "a")
+    assert not sender.may_start(START + 5 * SECOND - 200_000, 1, "a")  # it is remembered for 6 s
