Close what idles where a call broke, and look for garbage less often

Checked: a connection that idles at an endpoint which fell silent or forgot it is used again, and the call on it ends as a reset, after which the endpoint is avoided; gc goes through all modules' objects at the default threshold. Mend: LastingSender.judge closes what idles after a reset or a time-out; what the start made is frozen, and the threshold is 10,000.

--- a/amberlug/__main__.py
+++ b/amberlug/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import signal
 import socket
@@ -19,6 +20,7 @@
 COLLECT_FOR = 3.0  # seconds after SIGTERM for calls that are out: SIGKILL comes at 3.7 s
 LOOK_AGAIN = 0.02
 BACKLOG = 512
+YOUNG = 10_000  # new objects between looks for garbage in cycles, of which a message leaves few
 ACCEPTS = 8  # connections accepted in one turn of the loop
 
 
@@ -43,6 +45,10 @@
     loop.add_signal_handler(signal.SIGHUP, reread, watch, node.notices)
     watch.start()
     node.notices.start()
+    # Guards against collections that look through all modules again and again, and hold up the loop.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG)
     log(f"ready on {config.listen[0]}:{config.listen[1]}")
     await stop.wait()
     server.closing = True
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -10,7 +10,7 @@
 
 from stoatusher import interface as api
 from stoatusher.decide import MAY_HAVE_RUN, Account, Sender, may_refuse, may_repeat
-from stoatusher.interface import Effect, Group, State
+from stoatusher.interface import Effect, Group, Result, State
 from stoatusher.state import NEVER, Call, Destination, Endpoint, Message
 
 LEAST_ADVICE_US = 500_000  # how long a refused client stays away at least: a queue takes as long to go
@@ -84,6 +84,14 @@
         early_us = min(EARLY_US, max(0, event.left_us) // 10)
         super().take(replace(event, left_us=event.left_us - early_us))
 
+    def judge(self, endpoint: Endpoint, start_us: int, result: Result, wait_us: int) -> None:
+        """Judge an endpoint; where a call broke or went unanswered, what idles there is not used again."""
+        # Guards against calls on connections that an endpoint forgot while it was away: each ends as a reset.
+        super().judge(endpoint, start_us, result, wait_us)
+        if result in (Result.TIMED_OUT, Result.RESET):
+            endpoint.idle.clear()
+            self.actions.append(api.CloseIdle(endpoint.entry.endpoint))
+
     def resume(self, event: api.Resumed) -> None:
         """Hold a message again; one that can't go on is ended at once."""
         self.resumed = event
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -103,3 +103,12 @@
     due = min(timers, key=lambda it: it.after_us)
     assert 9 * SECOND < due.after_us < 10 * SECOND
     assert of(sender.step(START + 2 + due.after_us, [api.Due(due.label)]), api.Refuse)
+
+
+@pytest.mark.parametrize(("result", "closed"), [(Result.RESET, 1), (Result.TIMED_OUT, 1), (Result.ERROR, 0)])
+def test_what_idles_where_a_call_broke_or_went_unanswered_is_closed(result: Result, closed: int) -> None:
+    sender = lasting()
+    sender.step(START + 1, [taken(1, "safe"), taken(2, "safe")])
+    sender.step(START + 2, [api.Outcome(1, 0, "a", Result.DONE, True, 1, 0, ())])
+    actions = sender.step(START + 3, [api.Outcome(2, 0, "a", result, False, 2, 0, ())])
+    assert of(actions, api.CloseIdle) == [api.CloseIdle("a")] * closed
