End a call with several as a whole when the time of its first message is up

Lines at fault: Sender.send gave each message of a call a time of its own, Caller._give_up kept the call for the last of them, and Caller._read believed the answer for all.

Mend: LastingSender.send gives a call one time, the first of its messages', and lets what waits out its time (unsafe) share no call with what can be repeated; Send names its call, so that the relay bundles as the module does. Caller._read takes nothing for delivered from an answer to several that is read after that time.

--- a/amberlug/calls.py
+++ b/amberlug/calls.py
@@ -282,6 +282,11 @@
         if len(attempts) == 1 or reply.status != 200:
             self._end_all(attempts, ending(reply, names))
             return
+        if min(attempt.until_us for attempt in attempts) <= self._clock():
+            # Guards against a late answer to several that a loop held up reads before it gives the call up:
+            # what it says of each may count for nobody. It could do harm to one that came just in time.
+            self._end_all(attempts, Ending(Result.SPOILT))
+            return
         ends = batch_endings(reply, names)
         for attempt in attempts:
             self._end(attempt, ends.get(attempt.message.name, Ending(Result.ERROR)))
--- a/amberlug/node.py
+++ b/amberlug/node.py
@@ -255,12 +255,9 @@
         self._send(sends)
 
     def _send(self, sends: list[api.Send]) -> None:
-        """Send those of one endpoint together, as far as its kind allows; the module bundles the same way."""
-        for endpoint, group in groupby(sorted(sends, key=lambda it: it.endpoint), lambda it: it.endpoint):
-            attempts = [self._attempt(send) for send in group]
-            most = self._sender.bundle_most(endpoint)
-            for start in range(0, len(attempts), most):
-                self._caller.call(endpoint, attempts[start : start + most])
+        """Send together what the module bundles in one call."""
+        for (endpoint, _), group in groupby(sends, lambda it: (it.endpoint, it.call)):
+            self._caller.call(endpoint, [self._attempt(send) for send in group])
 
     def _attempt(self, send: api.Send) -> Attempt:
         message = self._messages[send.ref]
--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -406,8 +406,7 @@
                 return
             if self.slots_out >= self.settings.slots:
                 return self.free_slots(destination)
-            bundle = [message for message in able if self.usable(choice, message)]
-            self.send(choice, bundle[: self.settings.kinds[choice.entry.kind].bundle_max])
+            self.send(choice, [message for message in able if self.usable(choice, message)])
 
     def free_slots(self, destination: Destination) -> None:
         self.starved[destination] = None
@@ -429,6 +428,7 @@
 
     def send(self, endpoint: Endpoint, bundle: list[Message]) -> None:
         """Send one call. Unsafe attempts wait out their time: giving up gains a slot and loses the worth."""
+        bundle = bundle[: self.settings.kinds[endpoint.entry.kind].bundle_max]
         call, patience = self.start_call(endpoint, len(bundle), 1), endpoint.account.patience_us()
         for message in bundle:
             until, effect = message.deadline_us, message.kind.effect
@@ -442,4 +442,4 @@
             message.out[message.attempts] = call
             self.calls[message.ref, message.attempts] = message, call
             message.attempts += 1
-            self.actions.append(api.Send(message.ref, endpoint.entry.endpoint, until))
+            self.actions.append(api.Send(message.ref, endpoint.entry.endpoint, until, bundle[0].ref))
--- a/stoatusher/interface.py
+++ b/stoatusher/interface.py
@@ -257,11 +257,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Call an endpoint with a message; the attempt is abandoned at `until_us`."""
+    """Call an endpoint with a message; the attempt is abandoned at `until_us`.
+
+    Sends of a round to one endpoint with the same `call` travel together, and have the same time.
+    """
 
     ref: int
     endpoint: str
     until_us: int
+    call: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -122,6 +122,20 @@
             start_us = start_us if message.kind.group is Group.ALL else NEVER
         return Call(endpoint, start_us, 0, 0)
 
+    def send(self, endpoint: Endpoint, bundle: list[Message]) -> None:
+        """Send one call, all of whose attempts are abandoned when the first of them would be."""
+        # Guards against what an answer says that comes after the time of one of its messages: of the others,
+        # taken for delivered, nobody may have it so. It also spares what could be repeated a wait as long as
+        # that of what can't. Unsafe ones go by themselves, since they wait out their time. It could do harm
+        # where one with little time ends the call of others that a slow endpoint would still have answered.
+        unsafe = bundle[0].kind.effect is Effect.UNSAFE
+        sent = len(self.actions)
+        super().send(endpoint, [it for it in bundle if (it.kind.effect is Effect.UNSAFE) is unsafe])
+        until_us = min(it.until_us for it in self.actions[sent:] if isinstance(it, api.Send))
+        self.actions[sent:] = [
+            replace(it, until_us=until_us) if isinstance(it, api.Send) else it for it in self.actions[sent:]
+        ]
+
     def may_start(self, now_us: int, ref: int, name: str) -> bool:
         """Whether a send that was decided on may still leave: no drain, wait or end has come since."""
         endpoint, message = self.endpoints.get(name), self.messages.get(ref)
@@ -139,8 +153,3 @@
             opens = [opening for _, opening in self.openings(message.destination)]
             advice_us = max(LEAST_ADVICE_US, min(opens, default=self.now) - self.now)
             self.actions[-1] = api.Refuse(end.ref, min(advice_us, self.settings.max_advice_us))
-
-    def bundle_most(self, name: str) -> int:
-        """How many messages one call to an endpoint may hold."""
-        endpoint = self.endpoints.get(name)
-        return 1 if endpoint is None else self.settings.kinds[endpoint.entry.kind].bundle_max
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -112,6 +112,50 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+def test_an_answer_to_several_after_the_time_of_one_delivers_none(tmp_path: Path, kind: str) -> None:
+    """Guards against taking for delivered what came with the `ok` of a message whose time was up."""
+
+    async def scenario() -> None:
+        endpoint = StandIn(OK, None, None)
+        async with world(tmp_path, endpoint, kind="bundled", FamilyInfo__Slots=1) as (relay, platform):
+            await relay.hand_in("m1", kind)
+            (out,) = await endpoint.requests(1)
+            await relay.hand_in("a", kind, left_ms=1000)
+            await relay.hand_in("b", kind)
+            out.answer(OK)
+            _, batch = await endpoint.requests(2)
+            assert batch.path == "/hook/batch"
+            assert (await platform.noticed())[0]["message"] == "a"
+            batch.answer((200, [], b"a ok\r\nb ok\r\n"))
+            if kind == "safe":
+                assert [seen.name for seen in await endpoint.requests(3)][2] == "b"
+            else:
+                assert {it["message"] for it in await platform.noticed(2)} == {"a", "b"}
+
+    run(scenario())
+
+
+def test_what_waits_out_its_time_shares_no_call_with_what_may_be_repeated(tmp_path: Path) -> None:
+    """Guards against a silent call that holds what could be repeated for as long as what can't."""
+
+    async def scenario() -> None:
+        endpoint = StandIn(OK, None, None)
+        async with world(tmp_path, endpoint, kind="bundled", FamilyInfo__Slots=4) as (relay, _):
+            for name in ("m1", "m2"):
+                await relay.hand_in(name)
+            out = list(await endpoint.requests(2))
+            for name in ("a", "b", "c", "d"):
+                await relay.hand_in(name, "unsafe" if name in "ac" else "safe")
+            for seen in out:
+                seen.answer(OK)
+            bodies = [seen.body for seen in (await endpoint.requests(4))[2:]]
+            frames = sorted(sorted(body.split(b" - 5\r\nhello\r\n")) for body in bodies)
+            assert frames == [[b"", b"a", b"c"], [b"", b"b", b"d"]]
+
+    run(scenario())
+
+
 def test_spoilt_answers_are_no_outage(relay: Callable[..., Relay]) -> None:
     it = relay()
     it.listed("a")
