Refuse early what waits to be read, the least worth first, and spend less on what waits

A client waits 400 ms, leaves, and comes again on a new connection, while its first message is taken on and sent for nobody. Sampled (py-spy): rounds 44%, of that Sender.serve 22%, which lists all that waits anew for each send (the two lists in Sender.serve); asyncio.wait 3%. Ruled out: one slow callback (none stands out; steps of 0.06 s at the most); memory and descriptors.

Mend: the loop's selector tells how long what is read may have waited (turns.py); Taken carries it. Sender.serve picks a bundle lazily and Caller waits on one future.

--- a/amberlug/__main__.py
+++ b/amberlug/__main__.py
@@ -14,6 +14,7 @@
 from amberlug.journal import Journal
 from amberlug.node import Node, wall_ms
 from amberlug.server import Server
+from amberlug.turns import Turns
 from stoatusher.interface import ListKind
 
 OPEN_FOR = 0.6  # seconds after SIGTERM that connections are still taken: they go on coming for 0.4 s
@@ -24,14 +25,14 @@
 ACCEPTS = 8  # connections accepted in one turn of the loop
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, turns: Turns) -> None:
     """Serve until SIGTERM."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     journal = Journal(config.state, config.limits.disk_bytes, wall_ms())
-    node = Node(config.settings, config.seed, journal, config.discovery, config.limits.links)
+    node = Node(config.settings, config.seed, journal, config.discovery, config.limits.links, turns)
     node.listed(config.known, ListKind.STALE)
     node.restore()
     server = Server(config.settings, node, wall_ms, config.limits.clients)
@@ -83,7 +84,9 @@
 def main() -> int:
     """Run the relay; 0 after SIGTERM, 2 after one plain line on what it can't be started with."""
     try:
-        asyncio.run(serve(read_config(os.environ)))
+        config, turns = read_config(os.environ), Turns()
+        with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner:
+            runner.run(serve(config, turns))
     except (ValueError, OSError) as error:
         print(f"amberlug: {plain(error)}", file=sys.stderr)
         return 2
--- a/amberlug/calls.py
+++ b/amberlug/calls.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Coroutine, Mapping, Sequence
+from functools import partial
 from typing import Any
 
 from amberlug.link import Link, LinkLostError, Reply, dial
@@ -199,7 +200,7 @@
         self._start(self._call(endpoint, attempts))
 
     def _listen(self, attempts: Sequence[Attempt]) -> asyncio.Future[None]:
-        """Make what tells the call's task that one of its attempts is called off."""
+        """Make what wakes the call's task: an answer, its time, or an attempt that is called off."""
         nudge = asyncio.get_running_loop().create_future()
         self._nudges.update(dict.fromkeys((it for it in attempts if not it.ended), nudge))
         return nudge
@@ -207,8 +208,8 @@
     def call_off(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt; its end is reported as any other."""
         attempt.called_off = True
-        if (nudge := self._nudges.get(attempt)) is not None and not nudge.done():
-            nudge.set_result(None)
+        if (nudge := self._nudges.get(attempt)) is not None:
+            _wake(nudge)
 
     def probe(self, endpoint: str, ended: Callable[[Ending], None]) -> None:
         """Ask an endpoint whether it is well."""
@@ -258,8 +259,11 @@
             if not any(not attempt.ended for attempt in attempts):
                 link.close()  # an attempt that was given up must not stay out on an open connection
                 return
-            either: set[asyncio.Future[Any]] = {reply, self._listen(attempts)}
-            await asyncio.wait(either, timeout=waits_us / 1e6, return_when=asyncio.FIRST_COMPLETED)
+            nudge = self._listen(attempts)
+            reply.add_done_callback(partial(_wake, nudge))
+            timer = asyncio.get_running_loop().call_later(waits_us / 1e6, _wake, nudge)
+            await nudge
+            timer.cancel()
         try:
             self._read(reply.result(), attempts)
         except LinkLostError as error:
@@ -332,6 +336,11 @@
         return Ending(how.result, how.wait_us, report=told)
 
 
+def _wake(nudge: asyncio.Future[None], _: object = None) -> None:
+    if not nudge.done():
+        nudge.set_result(None)
+
+
 def _frame(attempt: Attempt) -> bytes:
     message = attempt.message
     head = f"{message.name} {message.key or '-'} {len(message.body)}\r\n"
--- a/amberlug/node.py
+++ b/amberlug/node.py
@@ -12,6 +12,7 @@
 from amberlug.discovery import News, Notice, Notices, log
 from amberlug.journal import Held, Journal, Memory
 from amberlug.messages import Attempt, Ending, Exchange, Message
+from amberlug.turns import Turns
 from stoatusher import interface as api
 from stoatusher.interface import Result
 from stoatusher.lasting import LastingSender
@@ -30,9 +31,15 @@
     """Owns the module, its clock and timers, and the record of every message held."""
 
     def __init__(
-        self, settings: api.Settings, seed: int, journal: Journal, where: tuple[str, int], links: int
+        self,
+        settings: api.Settings,
+        seed: int,
+        journal: Journal,
+        where: tuple[str, int],
+        links: int,
+        turns: Turns,
     ) -> None:
-        self._settings, self._journal = settings, journal
+        self._settings, self._journal, self._turns = settings, journal, turns
         self._sender = LastingSender(settings, seed)
         self._pool = Pool(settings, links)
         self._caller = Caller(settings, self._pool, self.clock, self._clear, self._attempt_ended)
@@ -105,7 +112,7 @@
             api.Earlier(it.endpoint, max(0, now_ms - it.at_ms) * 1000, it.result)
             for it in held.tried.values()
         )
-        taken = self._taken(message, (message.deadline_ms - now_ms) * 1000)
+        taken = self._taken(message, (message.deadline_ms - now_ms) * 1000, 0)
         self._events.append(api.Resumed(taken, message.attempts, earlier))
 
     def _enlist(self, message: Message) -> None:
@@ -113,9 +120,9 @@
         message.ref = self._refs
         self._messages[message.ref] = self._names[message.name] = message
 
-    def _taken(self, message: Message, left_us: int) -> api.Taken:
+    def _taken(self, message: Message, left_us: int, waited_us: int) -> api.Taken:
         return api.Taken(
-            message.ref, message.destination, message.message_class, message.tenant, None, left_us
+            message.ref, message.destination, message.message_class, message.tenant, None, left_us, waited_us
         )
 
     def serves(self, destination: int) -> bool:
@@ -135,7 +142,7 @@
         else:
             message.exchanges.append(exchange)
             self._enlist(message)
-            self._tell(self._taken(message, left_us))
+            self._tell(self._taken(message, left_us, self._turns.waited_us()))
 
     def hung_up(self, exchange: Exchange) -> None:
         """Withdraw a message whose every client hung up before it was answered."""
--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -396,17 +396,17 @@
             ready.sort(key=self.rank)
             if able is None and ready:
                 able = self.order(destination)
-            able = [message for message in able or () if message.ref in destination.waiting]
-            choice = next((to for message in able for to in ready if self.usable(to, message)), None)
+            left = [it for it in able or () if it.ref in destination.waiting] if ready else []
+            choice = next((to for message in left for to in ready if self.usable(to, message)), None)
             if choice is None:
-                for endpoint in [to for to in ready if able and to.cold and to.swallows][:1]:
+                for endpoint in [to for to in ready if left and to.cold and to.swallows][:1]:
                     self.scout(destination, endpoint)
                 if later := [opening for opening in openings.values() if opening > self.now]:
                     self.wake(destination, min(later))
                 return
             if self.slots_out >= self.settings.slots:
                 return self.free_slots(destination)
-            self.send(choice, [message for message in able if self.usable(choice, message)])
+            self.send(choice, (message for message in left if self.usable(choice, message)))
 
     def free_slots(self, destination: Destination) -> None:
         self.starved[destination] = None
@@ -426,9 +426,9 @@
             self.probes[endpoint.entry.endpoint] = self.start_call(endpoint, 1, 0)
             self.actions.append(api.Probe(endpoint.entry.endpoint))
 
-    def send(self, endpoint: Endpoint, bundle: list[Message]) -> None:
+    def send(self, endpoint: Endpoint, able: Iterator[Message]) -> None:
         """Send one call. Unsafe attempts wait out their time: giving up gains a slot and loses the worth."""
-        bundle = bundle[: self.settings.kinds[endpoint.entry.kind].bundle_max]
+        bundle = list(itertools.islice(able, self.settings.kinds[endpoint.entry.kind].bundle_max))
         call, patience = self.start_call(endpoint, len(bundle), 1), endpoint.account.patience_us()
         for message in bundle:
             until, effect = message.deadline_us, message.kind.effect
--- a/stoatusher/interface.py
+++ b/stoatusher/interface.py
@@ -150,7 +150,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Taken:
-    """A new message that this relay now answers for."""
+    """A new message that this relay now answers for; it may have waited to be read for `waited_us`."""
 
     ref: int
     destination: int
@@ -158,6 +158,7 @@
     tenant: str | None
     key: str | None
     left_us: int
+    waited_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -5,8 +5,9 @@
 """
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import replace
+from itertools import chain
 
 from stoatusher import interface as api
 from stoatusher.decide import MAY_HAVE_RUN, Account, Sender, may_refuse, may_repeat
@@ -17,6 +18,9 @@
 AWAY_US = 5_000_000  # how long a planned restart takes: ending, starting, and what waits by then
 EARLY_US = 150_000  # how long before its time is up a message ends here: half of what an end may be late
 ON_ITS_WAY_US = 300_000  # how long a send that leaves may take to reach an endpoint
+BEHIND_US = 60_000  # a wait to be read that is usual under load; the answer comes some waits later
+BEHIND_ADVICE_US = 1_000_000  # when one may come again that was refused while this relay was behind
+USUAL_WEIGHT = 0.02  # weight of the newest message in the usual worth
 KEEP = 0.75  # a message that keeps less of its worth over a planned restart is handed back for another relay
 
 
@@ -25,6 +29,7 @@
 
     resumed: api.Resumed | None = None
     closing = False
+    usual_worth = 0.0  # of late messages
 
     def step(self, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
         """Take in what came as in any life, then what belongs to a restart, and serve what that touched."""
@@ -79,10 +84,23 @@
             account.stretched = int(account.window / min(1.0, account.learned))
 
     def take(self, event: api.Taken) -> None:
-        """Hold a message for a little less than its time."""
+        """Hold a message for a little less than its time, unless this relay is too far behind."""
+        if self.too_busy(event):
+            advice_us = min(BEHIND_ADVICE_US, self.settings.max_advice_us) if self.settings.may_advise else 0
+            self.actions.append(api.Refuse(event.ref, advice_us))
+            return
         # Guards against ends that come late where the process was held up: one that comes late is a loss.
-        early_us = min(EARLY_US, max(0, event.left_us) // 10)
-        super().take(replace(event, left_us=event.left_us - early_us))
+        left_us = event.left_us - event.waited_us
+        super().take(replace(event, left_us=left_us - min(EARLY_US, max(0, left_us) // 10)))
+
+    def too_busy(self, event: api.Taken) -> bool:
+        """Whether to refuse a message, the less it is worth the sooner, since what comes waits to be read."""
+        # Guards against answers so late that clients leave and come again, which doubles the work: whatever
+        # takes the process's time. Could do harm where one long turn, not load, made what came in it wait.
+        worth = self.settings.classes[event.message_class].worth
+        usual = self.usual_worth or worth
+        self.usual_worth = usual + (worth - usual) * USUAL_WEIGHT
+        return worth < self.usual_worth * (event.waited_us - BEHIND_US) / BEHIND_US
 
     def judge(self, endpoint: Endpoint, start_us: int, result: Result, wait_us: int) -> None:
         """Judge an endpoint; where a call broke or went unanswered, what idles there is not used again."""
@@ -122,15 +140,16 @@
             start_us = start_us if message.kind.group is Group.ALL else NEVER
         return Call(endpoint, start_us, 0, 0)
 
-    def send(self, endpoint: Endpoint, bundle: list[Message]) -> None:
+    def send(self, endpoint: Endpoint, able: Iterator[Message]) -> None:
         """Send one call, all of whose attempts are abandoned when the first of them would be."""
         # Guards against what an answer says that comes after the time of one of its messages: of the others,
         # taken for delivered, nobody may have it so. It also spares what could be repeated a wait as long as
         # that of what can't. Unsafe ones go by themselves, since they wait out their time. It could do harm
         # where one with little time ends the call of others that a slow endpoint would still have answered.
-        unsafe = bundle[0].kind.effect is Effect.UNSAFE
-        sent = len(self.actions)
-        super().send(endpoint, [it for it in bundle if (it.kind.effect is Effect.UNSAFE) is unsafe])
+        sent, first = len(self.actions), next(able)
+        unsafe = first.kind.effect is Effect.UNSAFE
+        alike = (it for it in able if (it.kind.effect is Effect.UNSAFE) is unsafe)
+        super().send(endpoint, chain([first], alike))
         until_us = min(it.until_us for it in self.actions[sent:] if isinstance(it, api.Send))
         self.actions[sent:] = [
             replace(it, until_us=until_us) if isinstance(it, api.Send) else it for it in self.actions[sent:]
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -1,12 +1,14 @@
 """What the module decides beyond one life, and just before a send leaves."""
 
+import itertools
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from stoatusher import interface as api
 from stoatusher.interface import Result, State
-from stoatusher.lasting import LastingSender
+from stoatusher.lasting import BEHIND_US, LastingSender
 from stoatusher.settings import read_settings
 from tests.conftest import SECOND, of, setup
 
@@ -112,3 +114,25 @@
     sender.step(START + 2, [api.Outcome(1, 0, "a", Result.DONE, True, 1, 0, ())])
     actions = sender.step(START + 3, [api.Outcome(2, 0, "a", result, False, 2, 0, ())])
     assert of(actions, api.CloseIdle) == [api.CloseIdle("a")] * closed
+
+
+def test_far_behind_it_refuses_what_is_worth_least_first() -> None:
+    sender = lasting()
+    cheap, dear = (replace(sender.settings.classes["safe"], worth=worth) for worth in (1.0, 4.0))
+    sender.settings = replace(sender.settings, classes={"cheap": cheap, "dear": dear})
+    refs = itertools.count(1)
+
+    def refused(waited_us: int) -> list[str]:
+        ends = []
+        for name in ("cheap", "dear"):
+            ref = next(refs)
+            taken = api.Taken(ref, 1, name, None, None, 10 * SECOND, waited_us)
+            actions = sender.step(sender.now + SECOND, [taken, api.Withdrawn(ref)])
+            ends += [name for it in actions if isinstance(it, api.Refuse) and it.ref == ref]
+        return ends
+
+    for _ in range(200):
+        assert refused(waited_us=0) == []
+    assert refused(waited_us=BEHIND_US) == []
+    assert refused(waited_us=2 * BEHIND_US) == ["cheap"]
+    assert refused(waited_us=4 * BEHIND_US) == ["cheap", "dear"]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,6 +12,7 @@
 from amberlug.link import Reply
 from amberlug.messages import Message
 from amberlug.node import Node
+from amberlug.turns import Turns
 from stoatusher.interface import Result
 from stoatusher.settings import read_settings
 from tests.conftest import SECOND, setup
@@ -269,7 +270,7 @@
 
     async def scenario() -> None:
         settings = read_settings(setup(GranularityUs=50_000))
-        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9)
+        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9, Turns())
         node.restore()
         exchange = Told()
         node.hand_in(Message("m1", "safe", None, 1, None, b"", 10**15), SECOND, exchange)
@@ -298,7 +299,7 @@
     async def scenario() -> None:
         endpoint = await StandIn().start()
         settings = read_settings(setup(Weights="nominal"))
-        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9)
+        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9, Turns())
         kinds = list(settings.kinds)
         node.listed(read_news(json.loads(news(member(endpoint.port))), kinds))
         node.restore()
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,58 @@
+"""A relay whose loop is held up: what comes meanwhile is refused, with a time to come again."""
+
+import asyncio
+import json
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from amberlug.discovery import read_news
+from amberlug.journal import Journal
+from amberlug.node import Node, wall_ms
+from amberlug.server import Server
+from amberlug.turns import Turns
+from stoatusher.settings import read_settings
+from tests.conftest import setup
+from tests.rig import StandIn, hand_in, member, news
+
+HELD_UP = 0.4
+
+
+def test_an_idle_loop_makes_nothing_wait() -> None:
+    turns = Turns()
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner:
+        runner.run(asyncio.sleep(HELD_UP))
+        assert turns.waited_us() < HELD_UP / 2 * 1e6
+
+
+@pytest.mark.parametrize(("held_up", "status"), [(0.0, b"202"), (HELD_UP, b"429")])
+def test_what_waits_while_the_loop_is_held_up_is_refused(
+    tmp_path: Path, held_up: float, status: bytes
+) -> None:
+    """Guards against clients that leave, unanswered for too long, and come again while the first is sent."""
+    turns = Turns()
+
+    async def scenario() -> None:
+        endpoint = await StandIn().start()
+        settings = read_settings(setup(Weights="nominal"))
+        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9, turns)
+        node.listed(read_news(json.loads(news(member(endpoint.port))), list(settings.kinds)))
+        node.restore()
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(Server(settings, node, wall_ms, 9), "127.0.0.1", 0)
+        with socket.create_connection(listener.sockets[0].getsockname()[:2]) as client:
+            await asyncio.sleep(0.05)  # the connection is taken in
+            head = "".join(f"{name}: {value}\r\n" for name, value in hand_in("m1").items())
+            client.sendall(f"POST /safe HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n{head}\r\n".encode())
+            time.sleep(held_up)
+            client.setblocking(False)
+            answer = await loop.sock_recv(client, 4096)
+        assert answer.split()[1] == status
+        assert (b"retry-after: " in answer.lower()) == (status == b"429")
+        listener.close()
+        await endpoint.stop()
+
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner:
+        runner.run(scenario())
