--- a/amberlug/__init__.py
+++ b/amberlug/__init__.py
@@ -1,1 +1,1 @@
-"""The relay on real sockets: it turns what happens on them into the decision module's events and back."""
+"""A message relay for partner delivery: a daemon, and the same relay as a library."""
--- /dev/null
+++ b/amberlug/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: serve, check, try."""
--- a/amberlug/journal.py
+++ b/amberlug/core/journal.py
@@ -12,13 +12,13 @@
 import struct
 import zlib
 from collections.abc import Iterator
-from dataclasses import astuple, dataclass, field
+from dataclasses import astuple
 from pathlib import Path
 from typing import Any
 
-from amberlug.discovery import log
-from amberlug.messages import Attempt, Ending, Message
-from amberlug.notices import Notice
+from amberlug.core.log import log
+from amberlug.core.messages import Attempt, End, Ending, Message, Outcome
+from amberlug.core.ports import Held, Memory, Tried
 from stoatusher import interface as api
 from stoatusher.interface import Result
 
@@ -31,33 +31,6 @@
 BLOCK = 512  # files count in whole blocks
 
 
-@dataclass(slots=True)
-class Tried:
-    """An attempt before the restart, with its result if that was recorded."""
-
-    endpoint: str
-    at_ms: int
-    result: Result | None = None
-
-
-@dataclass(slots=True)
-class Held:
-    """A message that the journal holds: to be sent on, or with its notice still to be answered."""
-
-    message: Message
-    tried: dict[int, Tried] = field(default_factory=dict)
-    notice: Notice | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Memory:
-    """What the last life had seen, and when that was by its own clock and by the wall's."""
-
-    wall_ms: int
-    clock_us: int
-    seen: tuple[api.Seen, ...] = ()
-
-
 def _record(kind: bytes, fields: dict[str, Any], body: bytes | None = None) -> bytes:
     payload = _encode(fields).encode()
     return _packed(kind, payload if body is None else payload + b"\n" + body)
@@ -104,6 +77,12 @@
         self._replay()
         self._compact()
 
+    def close(self) -> None:
+        """Close the file; nothing is written from now on."""
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+
     def knows(self, name: str) -> bool:
         """Whether a message with that name was taken on, and its time may not be up."""
         return name in self._needed or name in self._ended
@@ -145,9 +124,9 @@
         fields = {"id": "", "wall": self.memory.wall_ms, "clock": self.memory.clock_us, "seen": rows}
         return _record(b"S", fields)
 
-    def notice(self, message: Message, notice: Notice) -> None:
-        """Record an end that is still to be told."""
-        fields = {"id": notice.name, "end": notice.outcome, "retry": notice.retry_ms}
+    def owe(self, message: Message, end: End) -> None:
+        """Record an end that is still to be acknowledged."""
+        fields = {"id": end.message, "end": end.outcome.value, "retry": end.retry_ms}
         record = _record(b"N", fields | {"until": message.deadline_ms})
         self._forget(message.name)
         self._note(message.name, record)
@@ -199,8 +178,7 @@
         data = b"".join([*needed, ended, self._memory_record()])
         self._aside.write_bytes(data)
         self._aside.replace(self._path)
-        if self._file >= 0:
-            os.close(self._file)
+        self.close()
         self._file = os.open(self._path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
         self._size = self._compacted = len(data)
 
@@ -234,7 +212,7 @@
         elif kind == b"N":
             self._forget(name)
             message = Message(name, "", None, 0, None, b"", fields["until"], taken=True, over=True)
-            self.held[name] = Held(message, notice=Notice(name, fields["end"], fields["retry"]))
+            self.held[name] = Held(message, end=End(name, Outcome(fields["end"]), fields["retry"]))
         elif kind == b"A":
             self.held[name].tried[fields["n"]] = Tried(fields["to"], fields["at"])
         elif kind == b"O":
--- a/amberlug/node.py
+++ b/amberlug/core/node.py
@@ -1,79 +1,71 @@
-"""The round: what happened on the sockets goes to the decision module, its actions become I/O."""
+"""The round: what happened outside goes to the decision module, its actions become calls and ends."""
 
 from __future__ import annotations
 
-import asyncio
-import time
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from itertools import groupby
 
-from amberlug.calls import Caller, Pool
-from amberlug.discovery import News, log
-from amberlug.journal import Held, Journal, Memory
-from amberlug.messages import Attempt, Ending, Exchange, Message
-from amberlug.notices import Notice, Notices
-from amberlug.turns import Turns
+from amberlug.core.clock import SECOND
+from amberlug.core.log import log
+from amberlug.core.messages import Attempt, End, Ending, Exchange, Message, Outcome, Reason, Refusal
+from amberlug.core.ports import Clock, Ends, Handle, Held, Journal, Memory, News, Observer, Transport
 from stoatusher import interface as api
 from stoatusher.interface import Result
 from stoatusher.lasting import LastingSender
 
-SECOND = 1_000_000
 BUSY_RETRY_US = SECOND  # when a client may come again that this relay has no room for
 CLOSED_RETRY_US = SECOND // 2  # the same from one that closes: other relays are there, and known by then
 
 
-def wall_ms() -> int:
-    """Read the wall clock: only what must hold across restarts counts by it."""
-    return int(time.time() * 1000)
-
-
 class Node:
-    """Owns the module, its clock and timers, and the record of every message held."""
+    """Owns the module, its timers, and the record of every message held; one thread's alone."""
 
     def __init__(
         self,
         settings: api.Settings,
         seed: int,
         journal: Journal,
-        where: tuple[str, int],
-        links: int,
-        turns: Turns,
+        transport: Transport,
+        ends: Ends,
+        clock: Clock,
+        observer: Observer | None = None,
     ) -> None:
-        self._settings, self._journal, self._turns = settings, journal, turns
+        self._settings, self._journal, self._transport, self._ends = settings, journal, transport, ends
+        self._observer = observer
+        self._clock, self.now_us = clock, clock.now_us
         self._sender = LastingSender(settings, seed)
-        self._pool = Pool(settings, links)
-        self._caller = Caller(settings, self._pool, self.clock, self._clear, self._attempt_ended)
-        self.notices = Notices(where, self._noticed)
+        transport.bind(self)
+        ends.bind(self._acknowledged)
         self._messages: dict[int, Message] = {}
         self._names: dict[str, Message] = {}
         self._attempts: dict[tuple[int, int], Attempt] = {}
-        self._noticing: dict[str, int] = {}
+        self._owed: dict[str, int] = {}  # until when the name of each that ended counts as taken
         self._events: list[api.Event] = []
-        self._round_at: asyncio.TimerHandle | None = None
-        self._last_us = self._last_round_us = self._remembered_us = self._refs = 0
+        self._round_at: Handle | None = None
+        self._last_round_us = self._remembered_us = self._refs = 0
         self.ready = self.closing = False
 
-    def clock(self) -> int:
-        """Read the one clock, which never goes back."""
-        self._last_us = max(self._last_us, int(asyncio.get_running_loop().time() * SECOND))
-        return self._last_us
-
     @property
     def busy(self) -> bool:
-        """Whether a call is out or a notice is unanswered."""
-        return self._caller.busy or self.notices.waiting
+        """Whether a call is out or an end is to be acknowledged."""
+        return self._transport.busy or self._ends.waiting
+
+    @property
+    def held(self) -> int:
+        """How many messages wait or are out."""
+        return len(self._messages)
 
-    # What happens on the sockets.
+    # What happens outside.
 
     def restore(self) -> None:
         """Go on with what the journal holds, the oldest first."""
-        now_ms = wall_ms()
+        now_ms = self._clock.wall_ms()
         self._events.append(api.Remembered(self._remembered(now_ms)))
         for held in self._journal.held.values():
-            if held.notice is not None:
-                self._noticing[held.message.name] = held.message.deadline_ms
-                self.notices.add(held.notice)
+            if held.end is not None:
+                self._owed[held.message.name] = held.message.deadline_ms
+                self._ends.tell(held.end)
             else:
                 self._resume(held, now_ms)
         self._journal.held.clear()
@@ -83,7 +75,7 @@
     def _remembered(self, now_ms: int) -> tuple[api.Seen, ...]:
         """Put what the last life saw into this one's clock."""
         memory = self._journal.memory
-        shift_us = self.clock() - memory.clock_us - max(0, now_ms - memory.wall_ms) * 1000
+        shift_us = self.now_us() - memory.clock_us - max(0, now_ms - memory.wall_ms) * 1000
         return tuple(
             replace(
                 it,
@@ -105,7 +97,7 @@
         message = held.message
         if message.message_class not in self._settings.classes:
             log(f"journal: message {message.name} has no class here: given up")
-            self._end_by_notice(message, Notice(message.name, "given_up", 0))
+            self._finish(message, End(message.name, Outcome.GIVEN_UP))
             return
         self._enlist(message)
         message.attempts = max(held.tried, default=-1) + 1
@@ -130,23 +122,26 @@
         """Whether a list has named that destination."""
         return self._sender.serves(destination)
 
-    def hand_in(self, message: Message, left_us: int, exchange: Exchange) -> None:
-        """Answer a hand-in at once where the module need not be asked, else in the next round."""
+    def hand_in(self, message: Message, left_us: int, waited_us: int, exchange: Exchange) -> None:
+        """Settle a hand-in at once where the module need not be asked, else in the next round.
+
+        It has `left_us` microseconds left, and may have waited for `waited_us` until it was read.
+        """
         if (known := self._names.get(message.name)) is not None and not known.taken:
             known.exchanges.append(exchange)
         elif known is not None or self._journal.knows(message.name):
-            exchange.answer(202)  # it was taken on before: never taken twice
+            exchange.settle(None)  # it was taken on before: never taken twice
         elif self.closing:
-            exchange.answer(503, "closing", CLOSED_RETRY_US)
+            exchange.settle(Refusal(Reason.CLOSING, CLOSED_RETRY_US))
         elif len(self._messages) >= self._settings.max_open or not self._journal.fits(len(message.body)):
-            exchange.answer(503, "no room", BUSY_RETRY_US)
+            exchange.settle(Refusal(Reason.NO_ROOM, BUSY_RETRY_US))
         else:
             message.exchanges.append(exchange)
             self._enlist(message)
-            self._tell(self._taken(message, left_us, self._turns.waited_us()))
+            self._tell(self._taken(message, left_us, waited_us))
 
     def hung_up(self, exchange: Exchange) -> None:
-        """Withdraw a message whose every client hung up before it was answered."""
+        """Withdraw a message whose every client left before it was settled."""
         for message in [it for it in self._messages.values() if exchange in it.exchanges]:
             message.exchanges.remove(exchange)
             if not message.exchanges and not message.taken:
@@ -159,22 +154,26 @@
         for entry in news.entries:
             # Guards against connections that idle at what drains: calls that are out keep theirs.
             wanted = entry.state is api.State.IN
-            self._pool.locate(entry.endpoint, news.addresses[entry.endpoint] if wanted else None)
+            self._transport.locate(entry.endpoint, news.addresses[entry.endpoint] if wanted else None)
         if news.whole:
-            for endpoint in [it for it in self._pool.located() if it not in news.addresses]:
-                self._pool.locate(endpoint, None)
+            for endpoint in [it for it in self._transport.located() if it not in news.addresses]:
+                self._transport.locate(endpoint, None)
         self._events.append(api.Listed(told, news.entries))
         self._round()
 
-    def _attempt_ended(self, attempt: Attempt, how: Ending) -> None:
+    def ended(self, attempt: Attempt, how: Ending) -> None:
+        """Take an attempt's end in; what is delivered is over at once."""
         message = attempt.message
         del self._attempts[message.ref, attempt.number]
-        now = self.clock()
+        now = self.now_us()
         delivered = how.result is Result.DONE or how.over
+        if self._observer is not None:
+            self._observer.outcome(attempt, how)
         if message.ref in self._messages:
-            if delivered:
-                self._forget(message)
-                self._journal.end(message.name, message.deadline_ms, wall_ms())
+            if how.result is Result.DONE:
+                self._finish(message, End(message.name, Outcome.DELIVERED))
+            elif how.over:
+                self._finish(message, End(message.name, Outcome.GIVEN_UP, known=True))
             else:
                 self._journal.outcome(attempt, how)
         self._tell(
@@ -191,8 +190,8 @@
             )
         )
 
-    def _noticed(self, name: str) -> None:
-        self._journal.end(name, self._noticing.pop(name, 0), wall_ms())
+    def _acknowledged(self, name: str) -> None:
+        self._journal.end(name, self._owed.pop(name, 0), self._clock.wall_ms())
 
     # The round.
 
@@ -200,28 +199,30 @@
         """Have an event dealt with, with all others of the same tick."""
         self._events.append(event)
         if self._round_at is None:
-            wait_us = self._last_round_us + self._settings.granularity_us - self.clock()
-            self._round_at = asyncio.get_running_loop().call_later(max(0, wait_us) / SECOND, self._round)
+            due_us = max(self.now_us(), self._last_round_us + self._settings.granularity_us)
+            self._round_at = self._clock.at(due_us, self._round)
 
     def _round(self) -> None:
         if self._round_at is not None:
             self._round_at.cancel()
             self._round_at = None
         events, self._events = self._events, []
-        self._last_round_us = self.clock()
+        self._last_round_us = self.now_us()
         actions = self._sender.step(self._last_round_us, events)
+        if self._observer is not None:
+            self._observer.round(self._last_round_us, events, actions)
         ends = {it.ref: it for it in actions if isinstance(it, api.Refuse | api.Fail)}
         self._end(ends.values())
         for event in events:
             if isinstance(event, api.Taken) and event.ref in self._messages:
-                self._answer(self._messages[event.ref], ends.get(event.ref))
+                self._settle(self._messages[event.ref], ends.get(event.ref))
         self._carry_out(actions)
         if self._last_round_us - self._remembered_us > SECOND:
             self._remembered_us = self._last_round_us
-            self._journal.remember(Memory(wall_ms(), self._last_round_us, self._sender.seen()))
+            self._journal.remember(Memory(self._clock.wall_ms(), self._last_round_us, self._sender.seen()))
 
-    def _answer(self, message: Message, end: api.Refuse | api.Fail | None) -> None:
-        """Answer a client: taken on once the journal has it, or refused."""
+    def _settle(self, message: Message, end: api.Refuse | api.Fail | None) -> None:
+        """Tell whoever handed it in: taken on once the journal has it, or refused."""
         exchanges, message.exchanges = message.exchanges, []
         if end is None:
             try:
@@ -230,14 +231,15 @@
             except OSError as error:  # what it can't hold is refused, and its sends are not made
                 log(f"journal: {error}")
                 self._tell(api.Withdrawn(message.ref))
+        refusal = None
         if not message.taken:
             self._forget(message)
+            advice_us = end.advice_us if isinstance(end, api.Refuse) else 0
+            refusal = Refusal(Reason.REFUSED, advice_us or BUSY_RETRY_US)
+        elif self._observer is not None:
+            self._observer.taken(message)
         for exchange in exchanges:
-            if message.taken:
-                exchange.answer(202)
-            else:
-                advice_us = end.advice_us if isinstance(end, api.Refuse) else 0
-                exchange.answer(429, "refused", advice_us or BUSY_RETRY_US)
+            exchange.settle(refusal)
 
     def _carry_out(self, actions: Sequence[api.Action]) -> None:
         sends: list[api.Send] = []
@@ -247,13 +249,13 @@
                     sends.append(action)
                 case api.CallOff(ref, number):
                     if (attempt := self._attempts.get((ref, number))) is not None:
-                        self._caller.call_off(attempt)
+                        self._transport.call_off(attempt)
                 case api.Timer(label, after_us):
                     self._set_timer(label, after_us)
                 case api.Probe(endpoint):
                     self._probe(endpoint)
                 case api.CloseIdle(endpoint):
-                    self._pool.close_idle(endpoint)
+                    self._transport.close_idle(endpoint)
                 case api.Log(text):
                     log(text)
                 case api.Refuse() | api.Fail() | api.Subscribe() | api.Fetch() | api.Tell():
@@ -264,7 +266,7 @@
         """Send together what the module bundles in one call."""
         for (endpoint, _), group in groupby(sends, lambda it: (it.endpoint, it.call)):
             bundle = list(group)
-            self._caller.call(endpoint, [self._attempt(send) for send in bundle], bundle[0].fresh)
+            self._transport.call(endpoint, [self._attempt(send) for send in bundle], bundle[0].fresh)
 
     def _attempt(self, send: api.Send) -> Attempt:
         message = self._messages[send.ref]
@@ -273,48 +275,57 @@
         self._attempts[send.ref, attempt.number] = attempt
         return attempt
 
-    def _clear(self, attempts: Sequence[Attempt]) -> list[Attempt]:
+    def clear(self, attempts: Sequence[Attempt]) -> list[Attempt]:
         """Tell which attempts may still leave, and record them before their first byte does."""
-        now = self.clock()
+        now = self.now_us()
         cleared = []
         for attempt in attempts:
             over = self.closing or attempt.called_off or attempt.message.over or attempt.until_us <= now
             if not over and self._sender.may_start(now, attempt.message.ref, attempt.endpoint):
                 try:
-                    self._journal.attempt(attempt, wall_ms())
+                    self._journal.attempt(attempt, self._clock.wall_ms())
                 except OSError as error:  # an attempt that is not recorded could be made twice
                     log(f"journal: {error}")
                     continue
                 cleared.append(attempt)
+                if self._observer is not None:
+                    self._observer.attempt(attempt)
         return cleared
 
     def _set_timer(self, label: int, after_us: int) -> None:
-        loop = asyncio.get_running_loop()
-        loop.call_at((self._last_round_us + after_us) / SECOND + 1e-6, self._tell, api.Due(label))
+        self._clock.at(self._last_round_us + after_us, self._tell, api.Due(label))
 
     def _probe(self, endpoint: str) -> None:
-        start = self.clock()
+        start = self.now_us()
 
         def ended(how: Ending) -> None:
-            self._tell(api.Probed(endpoint, how.result, self.clock() - start, how.report))
+            self._tell(api.Probed(endpoint, how.result, self.now_us() - start, how.report))
 
-        self._caller.probe(endpoint, ended)
+        self._transport.probe(endpoint, ended)
 
     def _end(self, ends: Iterable[api.Refuse | api.Fail]) -> None:
         """Tell the ends of messages that were taken on; one that was not is answered."""
         # Guards against ends that come late because of what else a round brings: they go out first.
         for end in ends:
             if (message := self._messages.get(end.ref)) is not None and message.taken:
-                advice_us = end.advice_us if isinstance(end, api.Refuse) else 0
-                outcome = "handed_back" if isinstance(end, api.Refuse) else "given_up"
-                self._end_by_notice(message, Notice(message.name, outcome, advice_us // 1000))
-        self.notices.send()
-
-    def _end_by_notice(self, message: Message, notice: Notice) -> None:
+                if isinstance(end, api.Refuse):
+                    told = End(message.name, Outcome.HANDED_BACK, end.advice_us // 1000)
+                else:
+                    told = End(message.name, Outcome.GIVEN_UP)
+                self._finish(message, told)
+        self._ends.send()
+
+    def _finish(self, message: Message, end: End) -> None:
+        """Record a message's one end, then have it told."""
         self._forget(message)
-        self._noticing[message.name] = message.deadline_ms
-        self._journal.notice(message, notice)
-        self.notices.add(notice)
+        if self._ends.owed(end):
+            self._owed[message.name] = message.deadline_ms
+            self._journal.owe(message, end)
+        else:
+            self._journal.end(message.name, message.deadline_ms, self._clock.wall_ms())
+        if self._observer is not None:
+            self._observer.ended(message, end)
+        self._ends.tell(end)
 
     def _forget(self, message: Message) -> None:
         message.over = True
--- /dev/null
+++ b/amberlug/core/ports.py
@@ -0,0 +1,181 @@
+"""What the core wants of the world around it: time, calls, somebody to tell ends to, a durable log.
+
+Each port has one owner, the `Node`, and is used from its one thread. None of these methods may block.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from amberlug.core.messages import Attempt, End, Ending, Message
+from stoatusher import interface as api
+
+Address = tuple[str, int]
+
+
+class Handle(Protocol):
+    """Something that is to happen later."""
+
+    def cancel(self) -> None:
+        """Have it not happen; no harm once it has."""
+
+
+class Clock(Protocol):
+    """The one clock: it never goes back."""
+
+    def now_us(self) -> int:
+        """Microseconds from no particular moment."""
+
+    def wall_ms(self) -> int:
+        """Unix time in milliseconds: only what must hold across restarts counts by it."""
+
+    def at(self, when_us: int, callback: Callable[..., object], *args: object) -> Handle:
+        """Call back at that time or soon after, never before and never at once."""
+
+
+class Calls(Protocol):
+    """What a transport tells the core."""
+
+    def clear(self, attempts: Sequence[Attempt]) -> list[Attempt]:
+        """Which of these may still leave; they are recorded, and count as made from now on."""
+
+    def ended(self, attempt: Attempt, how: Ending) -> None:
+        """Report an attempt's one end."""
+
+
+class Transport(Protocol):
+    """Makes calls to endpoints: each attempt gets one end, whatever happens."""
+
+    @property
+    def busy(self) -> bool:
+        """Whether a call is out."""
+
+    def bind(self, calls: Calls) -> None:
+        """Learn whom to ask and to tell, before anything else."""
+
+    def call(self, endpoint: str, attempts: list[Attempt], fresh: bool) -> None:
+        """Make one call with one or more messages; a fresh one on a new connection."""
+
+    def call_off(self, attempt: Attempt) -> None:
+        """Stop waiting for an attempt; its end is reported as any other."""
+
+    def probe(self, endpoint: str, ended: Callable[[Ending], None]) -> None:
+        """Ask an endpoint whether it is well."""
+
+    def locate(self, endpoint: str, address: Address | None) -> None:
+        """Learn where an endpoint is, or that it wants nothing new."""
+
+    def located(self) -> list[str]:
+        """All endpoints that have an address."""
+
+    def close_idle(self, endpoint: str) -> None:
+        """Close the connections to an endpoint that carry no call."""
+
+
+class Ends(Protocol):
+    """Whom the ends of messages are told to."""
+
+    @property
+    def waiting(self) -> bool:
+        """Whether an end is still to be acknowledged, and may be soon."""
+
+    def bind(self, acknowledged: Callable[[str], None]) -> None:
+        """Learn whom to tell, by the message's name, that an end has arrived."""
+
+    def owed(self, end: End) -> bool:
+        """Whether this end must be acknowledged, and be told again until it is."""
+
+    def tell(self, end: End) -> None:
+        """Take an end that is in the journal, to be told with others of its round."""
+
+    def send(self) -> None:
+        """Tell now what this round has brought."""
+
+
+class Observer(Protocol):
+    """Sees each event and decision. It must neither raise nor change what it is shown."""
+
+    def round(self, now_us: int, events: Sequence[api.Event], actions: Sequence[api.Action]) -> None:
+        """See what the module was told, and what it decided."""
+
+    def taken(self, message: Message) -> None:
+        """See a message that is in the journal from now on, and owed an end."""
+
+    def attempt(self, attempt: Attempt) -> None:
+        """See an attempt that is recorded and about to leave."""
+
+    def outcome(self, attempt: Attempt, how: Ending) -> None:
+        """See how an attempt ended."""
+
+    def ended(self, message: Message, end: End) -> None:
+        """See the one end of a message."""
+
+
+@dataclass(slots=True)
+class Tried:
+    """An attempt before the restart, with its result if that was recorded."""
+
+    endpoint: str
+    at_ms: int
+    result: api.Result | None = None
+
+
+@dataclass(slots=True)
+class Held:
+    """A message that the journal holds: to be sent on, or with its end still to be acknowledged."""
+
+    message: Message
+    tried: dict[int, Tried] = field(default_factory=dict)
+    end: End | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """What the last life had seen, and when that was by its own clock and by the wall's."""
+
+    wall_ms: int
+    clock_us: int
+    seen: tuple[api.Seen, ...] = ()
+
+
+class Journal(Protocol):
+    """The durable log. What it can't record raises `OSError` where that must stop what follows."""
+
+    held: dict[str, Held]
+    memory: Memory
+
+    def knows(self, name: str) -> bool:
+        """Whether a message with that name was taken on, and its time may not be up."""
+
+    def fits(self, size: int) -> bool:
+        """Whether a message with a body of that size can be held."""
+
+    def take(self, message: Message) -> None:
+        """Record a message before it is answered for; `OSError` where it is not recorded."""
+
+    def attempt(self, attempt: Attempt, now_ms: int) -> None:
+        """Record an attempt before its first byte goes out; `OSError` where it is not recorded."""
+
+    def outcome(self, attempt: Attempt, how: Ending) -> None:
+        """Record how an attempt ended."""
+
+    def owe(self, message: Message, end: End) -> None:
+        """Record an end that is still to be acknowledged."""
+
+    def end(self, name: str, until_ms: int, now_ms: int) -> None:
+        """Record that nothing more is owed for a message."""
+
+    def remember(self, memory: Memory) -> None:
+        """Record what the next life should know of the endpoints."""
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """Entries of the list with their addresses."""
+
+    revision: int
+    whole: bool
+    entries: tuple[api.Entry, ...]
+    addresses: Mapping[str, Address]
--- a/amberlug/calls.py
+++ b/amberlug/http/calls.py
@@ -8,8 +8,9 @@
 from functools import partial
 from typing import Any
 
-from amberlug.link import Link, LinkLostError, Reply, dial
-from amberlug.messages import Attempt, Ending, Message
+from amberlug.core.messages import Attempt, Ending, Message
+from amberlug.core.ports import Address, Calls, Clock
+from amberlug.http.link import Link, LinkLostError, Reply, dial
 from stoatusher.interface import Result, Settings
 
 IDLE_MARGIN = 0.5  # seconds that an idle connection is closed before the endpoint may close it
@@ -22,8 +23,6 @@
     "exhausted": Ending(Result.UNSENT),
 }
 
-Ended = Callable[[Attempt, Ending], None]
-
 
 def report(text: str, names: Sequence[str]) -> tuple[float, ...]:
     """Read a load report's values in the order of the settings; () where it can't be read."""
@@ -92,7 +91,7 @@
         self._most = most
         self._dial = settings.dial_us / 1e6
         self._life = max(0.1, settings.idle_us / 1e6 - IDLE_MARGIN)
-        self._addresses: dict[str, tuple[str, int]] = {}
+        self._addresses: dict[str, Address] = {}
         self._idle: dict[str, list[Link]] = {}
         self._timers: dict[
             Link, tuple[str, asyncio.TimerHandle]
@@ -100,7 +99,7 @@
         self._links: set[Link] = set()
         self.dialing = 0
 
-    def locate(self, endpoint: str, address: tuple[str, int] | None) -> None:
+    def locate(self, endpoint: str, address: Address | None) -> None:
         """Learn where an endpoint is, or that it is gone."""
         if address != self._addresses.get(endpoint):
             self.close_idle(endpoint)
@@ -153,6 +152,11 @@
         timer = asyncio.get_running_loop().call_later(self._life, self._retire, link)
         self._timers[link] = endpoint, timer
 
+    def close(self) -> None:
+        """Close all connections."""
+        for link in list(self._links):
+            link.close()
+
     def close_idle(self, endpoint: str) -> None:
         """Close the connections to an endpoint that carry no call."""
         for link in list(self._idle.get(endpoint, ())):
@@ -180,23 +184,29 @@
 class Caller:
     """Makes the calls: one at a time on a connection, each attempt's end reported once."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        pool: Pool,
-        clock: Callable[[], int],
-        clear: Callable[[Sequence[Attempt]], list[Attempt]],
-        ended: Ended,
-    ) -> None:
-        self._settings, self._pool, self._clock = settings, pool, clock
-        self._clear, self._ended = clear, ended
+    def __init__(self, settings: Settings, links: int, clock: Clock) -> None:
+        self._settings, self._clock = settings, clock.now_us
+        self.pool = Pool(settings, links)
+        self.locate, self.located, self.close_idle = self.pool.locate, self.pool.located, self.pool.close_idle
         self._tasks: set[asyncio.Task[None]] = set()
         self._nudges: dict[Attempt, asyncio.Future[None]] = {}
 
+    def bind(self, calls: Calls) -> None:
+        """Learn who clears attempts and is told their ends."""
+        self._clear, self._ended = calls.clear, calls.ended
+
     @property
     def busy(self) -> bool:
         return bool(self._nudges)
 
+    async def close(self) -> None:
+        """Give up all calls and connections; attempts that are out get no further end."""
+        self._ended = _unheard
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.pool.close()
+
     def call(self, endpoint: str, attempts: list[Attempt], fresh: bool) -> None:
         """Send one call with one or more messages, on a new connection where that is wanted."""
         self._listen(attempts)
@@ -236,14 +246,14 @@
     async def _call(self, endpoint: str, attempts: list[Attempt], fresh: bool) -> None:
         try:
             until = max(attempt.until_us for attempt in attempts)
-            link = await self._pool.take(endpoint, max(0.0, (until - self._clock()) / 1e6), fresh)
+            link = await self.pool.take(endpoint, max(0.0, (until - self._clock()) / 1e6), fresh)
             if link is None:
                 self._end_all(attempts, Ending(Result.UNCONNECTED))
                 return
             try:
                 await self._use(link, attempts)
             finally:
-                self._pool.give(endpoint, link)
+                self.pool.give(endpoint, link)
         finally:
             # Guards against an error that leaves an attempt without an outcome, and its slot taken for good.
             self._end_all(attempts, Ending(Result.RESET))
@@ -324,7 +334,7 @@
 
     async def _sound_out(self, endpoint: str) -> Ending:
         seconds, names = self._settings.dial_us / 1e6, self._settings.report_names
-        link = await self._pool.take(endpoint, seconds)
+        link = await self.pool.take(endpoint, seconds)
         if link is None:
             return Ending(Result.UNCONNECTED)
         try:
@@ -335,12 +345,16 @@
             return Ending(Result.TIMED_OUT)
         except LinkLostError as error:
             return lost(error)
-        self._pool.give(endpoint, link)
+        self.pool.give(endpoint, link)
         how = ending(reply, names)
         told = how.report or report(reply.body.decode("latin-1"), names)
         return Ending(how.result, how.wait_us, report=told)
 
 
+def _unheard(attempt: Attempt, how: Ending) -> None:
+    """Guard against ends of calls that the closing relay gave up: nothing was learned of them."""
+
+
 def _wake(nudge: asyncio.Future[None], _: object = None) -> None:
     if not nudge.done():
         nudge.set_result(None)
--- a/amberlug/server.py
+++ b/amberlug/http/server.py
@@ -11,10 +11,10 @@
 
 import h11
 
-from amberlug.messages import Message
-from stoatusher.interface import Effect, Settings
+from amberlug.core.messages import Exchange, Message, Refusal
+from amberlug.http.handin import BODY_MOST, FIELDS, TOO_LONG, BadRequestError, answer, read_message
+from stoatusher.interface import Settings
 
-BODY_MOST = 1 << 16
 UNREAD_MOST = 1 << 20  # so much is passed over behind an error: closing at once would lose the answer
 AHEAD_MOST = 1 << 16  # bytes kept beyond an open request; with more, it is the connection's last
 TURN = (
@@ -22,9 +22,6 @@
 )
 SILENT = 0.2  # seconds after which a connection with no whole request on it makes room before others
 SWEEP = 0.25  # seconds between looks for connections whose time is up
-TOO_LONG = "the body is over 64 KiB"
-NAME_MOST = 128  # longest id or key
-FIELDS = ("req-id", "req-kind", "req-owner", "req-deadline-ms", "envelope", "idempotency-key")
 
 
 class Phase(Enum):
@@ -45,57 +42,8 @@
     ready: bool
 
     def serves(self, destination: int) -> bool: ...
-    def hand_in(self, message: Message, left_us: int, exchange: Connection) -> None: ...
-    def hung_up(self, exchange: Connection) -> None: ...
-
-
-class BadRequestError(ValueError):
-    """A request that is refused with one plain line."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-def _word(headers: Mapping[str, str], name: str) -> str:
-    value = headers.get(name.lower(), "")
-    if not value or len(value) > NAME_MOST or not value.isascii() or not value.isprintable() or " " in value:
-        raise BadRequestError(400, f"{name} is missing or malformed")
-    return value
-
-
-def _digits(text: str, what: str, most: int) -> int:
-    if not (text.isascii() and text.isdigit() and len(text) <= 18 and int(text) <= most):
-        raise BadRequestError(400, f"{what} is missing or malformed")
-    return int(text)
-
-
-def read_message(
-    settings: Settings,
-    serves: Callable[[int], bool],
-    path: str,
-    headers: Mapping[str, str],
-    body: bytes,
-    now_ms: int,
-) -> tuple[Message, int]:
-    """Read a hand-in: the message and how long it has left, in microseconds."""
-    name, class_name = _word(headers, "Req-Id"), _word(headers, "Req-Kind")
-    message_class = settings.classes.get(class_name)
-    if message_class is None or path.strip("/").split("/")[0] != class_name:
-        raise BadRequestError(400, "Req-Kind is unknown or differs from the path")
-    tenant = _word(headers, "Req-Owner") if settings.tenants or "req-owner" in headers else None
-    if settings.tenants and tenant not in settings.tenants:
-        raise BadRequestError(400, "Req-Owner is unknown")
-    left_ms = _digits(headers.get("req-deadline-ms", "").strip(), "Req-Deadline-Ms", 10**9)
-    fields = dict(part.strip().partition("=")[::2] for part in headers.get("envelope", "").split(";"))
-    destination = _digits(fields.get("dest", ""), "dest", 10**9)
-    # Guards against taking on what can't be sent, and a record of each number that a client thinks up.
-    if not serves(destination):
-        raise BadRequestError(404, "no such destination")
-    keyed = message_class.effect is Effect.KEYED or "idempotency-key" in headers
-    key = _word(headers, "Idempotency-Key") if keyed else None
-    message = Message(name, class_name, tenant, destination, key, body, now_ms + left_ms)
-    return message, left_ms * 1000
+    def hand_in(self, message: Message, left_us: int, waited_us: int, exchange: Exchange) -> None: ...
+    def hung_up(self, exchange: Exchange) -> None: ...
 
 
 class Connection(asyncio.Protocol):
@@ -170,6 +118,10 @@
         else:
             self.abort()
 
+    def settle(self, refusal: Refusal | None) -> None:
+        """Answer that the message was taken on, or when to come again."""
+        self.answer(*answer(refusal))
+
     def answer(self, status: int, text: str = "", retry_us: int = 0) -> None:
         """Answer the request that is being waited on; a client that has hung up is passed over."""
         if self._transport is None or self._transport.is_closing():
@@ -273,8 +225,16 @@
 class Server:
     """All clients' connections; while it closes, each answer ends its connection."""
 
-    def __init__(self, settings: Settings, node: Node, now_ms: Callable[[], int], most: int) -> None:
-        self._settings, self.node, self._now_ms, self._most = settings, node, now_ms, most
+    def __init__(
+        self,
+        settings: Settings,
+        node: Node,
+        now_ms: Callable[[], int],
+        waited_us: Callable[[], int],
+        most: int,
+    ) -> None:
+        self._settings, self.node, self._most = settings, node, most
+        self._now_ms, self._waited_us = now_ms, waited_us
         # When the time of each is up, by phase: one phase has one time, so the first in it is due first.
         self._due: dict[Phase, dict[Connection, float]] = {phase: {} for phase in Phase}
         self._sweeping: asyncio.TimerHandle | None = None
@@ -341,4 +301,4 @@
             raise BadRequestError(405, "use POST")
         serves = self.node.serves
         message, left_us = read_message(self._settings, serves, path, headers, body, self._now_ms())
-        self.node.hand_in(message, left_us, connection)
+        self.node.hand_in(message, left_us, self._waited_us(), connection)
--- a/amberlug/config.py
+++ b/amberlug/platform/config.py
@@ -8,8 +8,9 @@
 from pathlib import Path
 from typing import Any
 
-from amberlug.discovery import News, address, read_news
-from amberlug.server import BODY_MOST
+from amberlug.core.listing import address, read_news
+from amberlug.core.ports import Address, News
+from amberlug.http.handin import BODY_MOST
 from stoatusher.interface import Settings
 from stoatusher.settings import read_settings
 
@@ -43,8 +44,8 @@
 class Config:
     """What a relay is told at its start."""
 
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
+    listen: Address
+    discovery: Address
     state: Path
     seed: int
     limits: Limits
@@ -79,6 +80,6 @@
         raise ValueError(f"the configuration is malformed: {error!r}") from None
 
 
-def _discovery(environ: Mapping[str, str], data: Any) -> tuple[str, int]:
+def _discovery(environ: Mapping[str, str], data: Any) -> Address:
     """Tell where discovery is: by the file, which may be newer than the environment of the start."""
     return address(data["discovery"] if "discovery" in data else environ.get("ROUTER_DISCOVERY", ""))
--- /dev/null
+++ b/amberlug/platform/daemon.py
@@ -0,0 +1,106 @@
+"""Run one relay: wire its parts, reread the configuration on SIGHUP, end well on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import socket
+import sys
+
+from amberlug.core.clock import LoopClock
+from amberlug.core.journal import Journal
+from amberlug.core.lock import FolderLock
+from amberlug.core.log import LOGGER, log
+from amberlug.core.node import Node
+from amberlug.http.calls import Caller
+from amberlug.http.server import Server
+from amberlug.platform.config import Config, read_config
+from amberlug.platform.discovery import Watch
+from amberlug.platform.notices import Notices
+from amberlug.platform.turns import Turns
+from stoatusher.interface import ListKind
+
+OPEN_FOR = 0.6  # seconds after SIGTERM that connections are still taken: they go on coming for 0.4 s
+COLLECT_FOR = 3.0  # seconds after SIGTERM for calls that are out: SIGKILL comes at 3.7 s
+LOOK_AGAIN = 0.02
+BACKLOG = 512
+YOUNG = 10_000  # new objects between looks for garbage in cycles, of which a message leaves few
+ACCEPTS = 16  # connections accepted in one turn of the loop
+
+
+async def serve(config: Config, turns: Turns) -> None:
+    """Serve until SIGTERM."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    lock = FolderLock(config.state, lambda: not loop.is_closed())
+    clock = LoopClock()
+    journal = Journal(config.state, config.limits.disk_bytes, clock.wall_ms())
+    caller, notices = Caller(config.settings, config.limits.links, clock), Notices(config.discovery)
+    node = Node(config.settings, config.seed, journal, caller, notices, clock)
+    node.listed(config.known, ListKind.STALE)
+    node.restore()
+    server = Server(config.settings, node, clock.wall_ms, turns.waited_us, config.limits.clients)
+    sock = socket.create_server(
+        config.listen, family=socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
+    )
+    # asyncio accepts as many in one turn as its backlog tells, before one of them can be given up again.
+    listener = await loop.create_server(server, sock=sock, backlog=ACCEPTS)
+    sock.listen(BACKLOG)
+    watch = Watch(config.discovery, config.settings.kinds, config.known.revision, node.listed)
+    loop.add_signal_handler(signal.SIGHUP, reread, watch, notices)
+    watch.start()
+    notices.start()
+    # Guards against collections that look through all modules again and again, and hold up the loop.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG)
+    log(f"ready on {config.listen[0]}:{config.listen[1]}")
+    await stop.wait()
+    server.closing = True
+    node.close()
+    started = loop.time()
+    while loop.time() < started + OPEN_FOR or (node.busy and loop.time() < started + COLLECT_FOR):
+        await asyncio.sleep(LOOK_AGAIN)
+    listener.close()
+    server.close_idle()
+    await asyncio.sleep(LOOK_AGAIN)  # a request that is being read is answered first
+    watch.stop()
+    notices.stop()
+    lock.release()
+
+
+def reread(watch: Watch, notices: Notices) -> None:
+    """Go on at the address that the file names now, with all that is held; limits wait for the next start."""
+    try:
+        config = read_config(os.environ)
+    except (ValueError, OSError) as error:
+        # Guards against ending on a file that is bad or half written: the old configuration serves.
+        log(f"configuration not reread: {plain(error)}")
+        return
+    watch.move(config.discovery)
+    notices.move(config.discovery)
+
+
+def plain(error: Exception) -> str:
+    """Say an error in one line."""
+    return str(error).replace("\n", " ")
+
+
+def main() -> int:
+    """Run the relay; 0 after SIGTERM, 2 after one plain line on what it can't be started with."""
+    logging.basicConfig(stream=sys.stderr, format="%(message)s")
+    LOGGER.setLevel(logging.INFO)
+    try:
+        config, turns = read_config(os.environ), Turns()
+        with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner:
+            runner.run(serve(config, turns))
+    except (ValueError, OSError) as error:
+        print(f"amberlug: {plain(error)}", file=sys.stderr)
+        return 2
+    return 0
+
--- a/amberlug/discovery.py
+++ b/amberlug/platform/discovery.py
@@ -1,76 +1,27 @@
-"""The list of endpoints: reads it and follows it."""
+"""Follows the list of endpoints at the platform's discovery."""
 
 from __future__ import annotations
 
 import asyncio
 import json
-import sys
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
-from ipaddress import ip_address
-from typing import Any
+from collections.abc import Callable, Iterable
 
-from amberlug.link import Link, dial
-from stoatusher.interface import Entry, State
+from amberlug.core.listing import read_news
+from amberlug.core.log import log
+from amberlug.core.ports import Address, News
+from amberlug.http.link import Link, dial
 
 SILENCE = 5.0  # seconds without a line, which come every 2 s, after which the watch is renewed
 PAUSE = 0.1, 1.0  # first and longest pause before a further try
 DIAL = 1.0  # seconds for a connection
 LINE_MOST = 1 << 22  # longest line that is read: bounds memory against a broken peer
 
-_STATES = {"in_service": State.IN, "terminating": State.DRAINING, "terminated": State.GONE}
-
-
-def log(text: str) -> None:
-    """Write a line to the relay's log."""
-    print(text, file=sys.stderr, flush=True)
-
-
-@dataclass(frozen=True, slots=True)
-class News:
-    """Entries of the list with their addresses."""
-
-    revision: int
-    whole: bool
-    entries: tuple[Entry, ...]
-    addresses: Mapping[str, tuple[str, int]]
-
-
-def address(text: str) -> tuple[str, int]:
-    """Split an IP address and its port; there is no DNS to look a name up in."""
-    host, _, port = text.rpartition(":")
-    if not 0 < int(port) < 65536:
-        raise ValueError(f"not an address: {text!r}")
-    return str(ip_address(host)), int(port)
-
-
-def read_news(data: Any, kinds: Iterable[str]) -> News:
-    """Read an object of discovery's; `ValueError` where it is malformed."""
-    try:
-        entries, addresses = [], {}
-        for item in data["members"]:
-            entry = Entry(
-                endpoint=str(item["id"]),
-                zone=str(item["locality"]),
-                kind=str(item["flavor"]),
-                destination=int(item["cell"]),
-                state=_STATES[item["phase"]],
-                rate=float(item["size"]),
-            )
-            if entry.kind not in kinds:
-                raise ValueError(f"unknown kind {entry.kind!r}")
-            addresses[entry.endpoint] = address(item["host_port"])
-            entries.append(entry)
-        return News(int(data["revision"]), bool(data["complete"]), tuple(entries), addresses)
-    except (KeyError, TypeError, AttributeError, OverflowError) as error:
-        raise ValueError(f"malformed list: {error!r}") from None
-
 
 class Watch:
     """Follows the list; a connection that breaks, goes silent or sends what can't be read is renewed."""
 
     def __init__(
-        self, where: tuple[str, int], kinds: Iterable[str], revision: int, told: Callable[[News], None]
+        self, where: Address, kinds: Iterable[str], revision: int, told: Callable[[News], None]
     ) -> None:
         self._where, self._kinds, self._told = where, tuple(kinds), told
         self._link: Link | None = None
@@ -89,7 +40,7 @@
         if self._link is not None:
             self._link.close()
 
-    def move(self, where: tuple[str, int]) -> None:
+    def move(self, where: Address) -> None:
         """Go on at another address at once: what is told there counts, whatever the old one still says."""
         if where != self._where:
             log(f"discovery: now at {where[0]}:{where[1]}")
--- a/amberlug/notices.py
+++ b/amberlug/platform/notices.py
@@ -5,11 +5,12 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
 from itertools import islice
 
-from amberlug.discovery import PAUSE, log
-from amberlug.link import Link, LinkLostError, Reply, dial
+from amberlug.core.log import log
+from amberlug.core.messages import End, Outcome
+from amberlug.http.link import Link, LinkLostError, Reply, dial
+from amberlug.platform.discovery import PAUSE
 
 ANSWER = 1.0  # seconds for a notice's answer, which comes at once
 AGAIN = 0.15  # seconds without an answer after which a notice goes again, on another connection
@@ -17,28 +18,21 @@
 NOTICES_MOST = 100  # notices in one request: keeps it under 64 KiB
 
 
-@dataclass(frozen=True, slots=True)
-class Notice:
-    """How a message ended that was not delivered."""
-
-    name: str
-    outcome: str
-    retry_ms: int
-
-    def line(self) -> bytes:
-        fields: dict[str, str | int] = {"message": self.name, "outcome": self.outcome}
-        if self.retry_ms > 0:
-            fields["retry_in_ms"] = self.retry_ms
-        return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
+def line(end: End) -> bytes:
+    """Write a notice as the platform reads it."""
+    fields: dict[str, str | int] = {"message": end.message, "outcome": end.outcome.value}
+    if end.retry_ms > 0:
+        fields["retry_in_ms"] = end.retry_ms
+    return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
 class Notices:
     """Sends each notice at once, and again until it is answered 204."""
 
-    def __init__(self, where: tuple[str, int], done: Callable[[str], None]) -> None:
-        self._where, self._done = where, done
-        self._waiting: dict[str, Notice] = {}
-        self._unsent: dict[str, Notice] = {}
+    def __init__(self, where: tuple[str, int]) -> None:
+        self._where = where
+        self._waiting: dict[str, End] = {}
+        self._unsent: dict[str, End] = {}
         self._posts: set[asyncio.Task[None]] = set()
         self._links: list[Link] = []  # that carry no notice
         self._pause, self._most = PAUSE[0], NOTICES_MOST
@@ -48,9 +42,17 @@
     def waiting(self) -> bool:
         return bool(self._waiting)
 
-    def add(self, notice: Notice) -> None:
-        """Take a notice, to be sent with others of its round."""
-        self._waiting[notice.name] = self._unsent[notice.name] = notice
+    def bind(self, acknowledged: Callable[[str], None]) -> None:
+        self._done = acknowledged
+
+    def owed(self, end: End) -> bool:
+        """Tell the platform of all but deliveries, and of what it has called over itself."""
+        return end.outcome is not Outcome.DELIVERED and not end.known
+
+    def tell(self, end: End) -> None:
+        """Take an end, to be sent with others of its round."""
+        if self.owed(end):
+            self._waiting[end.message] = self._unsent[end.message] = end
 
     def start(self) -> None:
         self._running = True
@@ -79,7 +81,7 @@
         while self._running and self._unsent and len(self._posts) < POSTS_MOST:
             sent = list(islice(self._unsent.values(), self._most))
             for notice in sent:
-                del self._unsent[notice.name]
+                del self._unsent[notice.message]
             while (link := self._links.pop() if self._links else None) is not None and not link.usable:
                 link.close()
             written = None if link is None else self._write(link, sent)
@@ -87,11 +89,11 @@
             self._posts.add(task)
             task.add_done_callback(self._posts.discard)
 
-    def _write(self, link: Link, notices: list[Notice]) -> asyncio.Future[Reply]:
-        return link.request("POST", "/v1/notices", [], b"".join(it.line() for it in notices))
+    def _write(self, link: Link, notices: list[End]) -> asyncio.Future[Reply]:
+        return link.request("POST", "/v1/notices", [], b"".join(line(it) for it in notices))
 
     async def _post(
-        self, sent: list[Notice], link: Link | None, written: asyncio.Future[Reply] | None
+        self, sent: list[End], link: Link | None, written: asyncio.Future[Reply] | None
     ) -> None:
         """See notices to their answer, or have them sent again."""
         # Guards against an answer or a dial that is held up: a notice that waits behind it is late, and so a
@@ -114,7 +116,7 @@
                 link.close()
         self._answered(sent, status)
 
-    def _answered(self, sent: list[Notice], status: int) -> None:
+    def _answered(self, sent: list[End], status: int) -> None:
         loop = asyncio.get_running_loop()
         if status == 204 or (status == 400 and len(sent) == 1):
             self._pause, self._most = PAUSE[0], NOTICES_MOST
@@ -127,15 +129,15 @@
             self._pause = min(2 * self._pause, PAUSE[1])
         loop.call_soon(self.send)  # this one's place is free by then
 
-    def _again(self, sent: list[Notice]) -> None:
-        self._unsent.update((it.name, it) for it in sent if self._waiting.get(it.name) is it)
+    def _again(self, sent: list[End]) -> None:
+        self._unsent.update((it.message, it) for it in sent if self._waiting.get(it.message) is it)
         self.send()
 
-    def _ended(self, sent: list[Notice], status: int) -> None:
+    def _ended(self, sent: list[End], status: int) -> None:
         for notice in sent:
-            if self._waiting.get(notice.name) is notice:
+            if self._waiting.get(notice.message) is notice:
                 if status != 204:
-                    log(f"notice for {notice.name} can't be read there: dropped")
-                del self._waiting[notice.name]
-                self._unsent.pop(notice.name, None)
-                self._done(notice.name)
+                    log(f"notice for {notice.message} can't be read there: dropped")
+                del self._waiting[notice.message]
+                self._unsent.pop(notice.message, None)
+                self._done(notice.message)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -18,7 +18,13 @@
 
 import h11
 
-from amberlug.link import Link, Reply, dial
+from amberlug.core.clock import LoopClock
+from amberlug.core.journal import Journal
+from amberlug.core.node import Node
+from amberlug.http.calls import Caller
+from amberlug.http.link import Link, Reply, dial
+from amberlug.platform.notices import Notices
+from stoatusher.interface import Settings
 from tests.conftest import setup
 
 ROOT = Path(__file__).parents[1]
@@ -286,6 +292,18 @@
     return headers | {key.replace("_", "-"): value for key, value in more.items()}
 
 
+def node_in(folder: Path, settings: Settings) -> Node:
+    """The daemon's core with its real connections, and nobody to tell its ends to."""
+    clock = LoopClock()
+    caller, notices = Caller(settings, 9, clock), Notices(("127.0.0.1", 1))
+    return Node(settings, 1, Journal(folder, 10**6, 0), caller, notices, clock)
+
+
+def caller_of(node: Node) -> Caller:
+    assert isinstance(node._transport, Caller)
+    return node._transport
+
+
 @asynccontextmanager
 async def world(
     folder: Path,
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from amberlug.calls import report, wait_us
-from amberlug.link import Reply
+from amberlug.http.calls import report, wait_us
+from amberlug.http.link import Reply
 from stoatusher.interface import Result
 from tests.conftest import Relay, of
 from tests.rig import OK, Seen, StandIn, run, world
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,47 @@
+"""Imports run one way: a package knows only what lies below it."""
+
+import ast
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+# Each may import what stands before it, and itself.
+LAYERS = ("stoatusher", "amberlug.core", "amberlug.http", "amberlug.platform")
+ON_TOP = "amberlug.cli"
+
+
+def layer(module: str) -> int:
+    """Tell how high a module lies: the fronts between platform and command line share one floor."""
+    for height, name in enumerate(LAYERS):
+        if module == name or module.startswith(name + "."):
+            return height
+    above = module == "amberlug.__main__" or module.startswith(ON_TOP)
+    return len(LAYERS) + above
+
+
+def imported(path: Path) -> list[str]:
+    names: list[str] = []
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            names += [alias.name for alias in node.names]
+        elif isinstance(node, ast.ImportFrom) and node.module is not None:
+            names.append(node.module)
+    return [name for name in names if name.partition(".")[0] in ("stoatusher", "amberlug")]
+
+
+def test_imports_run_one_way() -> None:
+    against = []
+    for path in sorted([*ROOT.glob("amberlug/**/*.py"), *ROOT.glob("stoatusher/**/*.py")]):
+        module = ".".join(path.relative_to(ROOT).with_suffix("").parts)
+        against += [f"{module} -> {name}" for name in imported(path) if layer(name) > layer(module)]
+    assert against == []
+
+
+def test_the_core_knows_no_sockets() -> None:
+    for path in [*ROOT.glob("amberlug/core/*.py"), *ROOT.glob("stoatusher/*.py")]:
+        names = {
+            alias.name
+            for node in ast.walk(ast.parse(path.read_text(encoding="utf-8")))
+            if isinstance(node, ast.Import)
+            for alias in node.names
+        }
+        assert not names & {"socket", "h11", "selectors", "ssl"}, path
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,17 +6,15 @@
 
 import pytest
 
-from amberlug.calls import batch_endings
-from amberlug.discovery import read_news
-from amberlug.journal import Journal
-from amberlug.link import Reply
-from amberlug.messages import Message
-from amberlug.node import Node
-from amberlug.turns import Turns
+from amberlug.core.journal import Journal
+from amberlug.core.listing import read_news
+from amberlug.core.messages import Message, Refusal
+from amberlug.http.calls import batch_endings
+from amberlug.http.link import Reply
 from stoatusher.interface import Result
 from stoatusher.settings import read_settings
 from tests.conftest import SECOND, setup
-from tests.rig import OK, Answer, Seen, StandIn, hand_in, member, news, run, world
+from tests.rig import OK, Answer, Seen, StandIn, caller_of, hand_in, member, news, node_in, run, world
 
 WAIT: Answer = (429, [("Wait-Ms", "700")], b"")
 
@@ -283,13 +281,13 @@
 
     async def scenario() -> None:
         settings = read_settings(setup(GranularityUs=50_000))
-        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9, Turns())
+        node = node_in(tmp_path, settings)
         node.restore()
         exchange = Told()
-        node.hand_in(Message("m1", "safe", None, 1, None, b"", 10**15), SECOND, exchange)
+        node.hand_in(Message("m1", "safe", None, 1, None, b"", 10**15), SECOND, 0, exchange)
         node.hung_up(exchange)
         again = Told()
-        node.hand_in(Message("m2", "safe", None, 1, None, b"", 10**15), SECOND, again)
+        node.hand_in(Message("m2", "safe", None, 1, None, b"", 10**15), SECOND, 0, again)
         assert await again.status == 202
         assert not exchange.status.done()
         assert list(Journal(tmp_path, 10**6, 0).held) == ["m2"]
@@ -303,8 +301,8 @@
     def __init__(self) -> None:
         self.status: asyncio.Future[int] = asyncio.get_running_loop().create_future()
 
-    def answer(self, status: int, text: str = "", retry_us: int = 0) -> None:
-        self.status.set_result(status)
+    def settle(self, refusal: Refusal | None) -> None:
+        self.status.set_result(202 if refusal is None else 429)
 
 
 @pytest.mark.parametrize("stop", ["drain", "wait", "none"])
@@ -312,20 +310,20 @@
     async def scenario() -> None:
         endpoint = await StandIn().start()
         settings = read_settings(setup(Weights="nominal"))
-        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9, Turns())
+        node = node_in(tmp_path, settings)
         kinds = list(settings.kinds)
         node.listed(read_news(json.loads(news(member(endpoint.port))), kinds))
         node.restore()
         held = Message("m1", "unsafe", None, 1, None, b"x", 10**15)
-        node.hand_in(held, 5 * SECOND, exchange := Told())
+        node.hand_in(held, 5 * SECOND, 0, exchange := Told())
         assert await exchange.status == 202
-        while not node._pool.dialing:
+        while not caller_of(node).pool.dialing:
             await asyncio.sleep(0)
         if stop == "drain":
             node.listed(read_news(json.loads(news(member(endpoint.port, phase="terminating"))), kinds))
         elif stop == "wait":
             account = node._sender.endpoints["e"].account
-            account.blocked_until = node.clock() + 300_000
+            account.blocked_until = node.now_us() + 300_000
         start = asyncio.get_running_loop().time()
         await endpoint.until(lambda: endpoint.dials == 1)
         if stop == "drain":
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from amberlug.journal import Journal
-from amberlug.messages import Attempt, Ending, Message
+from amberlug.core.journal import Journal
+from amberlug.core.messages import Attempt, Ending, Message
 from stoatusher.interface import Result
 from tests.rig import OK, StandIn, run, world
 
@@ -145,7 +145,8 @@
         assert list(opened(tmp_path).held) == ["m1"]
 
 
-def test_a_corrupt_record_is_skipped_and_logged(tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
+def test_a_corrupt_record_is_skipped_and_logged(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
     journal = opened(tmp_path)
     for name in ("m1", "m2", "m3"):
         journal.take(message(name))
@@ -154,7 +155,7 @@
     at = data.index(b'"m2"')
     path.write_bytes(data[:at] + b"?" + data[at + 1 :])
     assert list(opened(tmp_path).held) == ["m1", "m3"]
-    assert "skipped" in capfd.readouterr().err
+    assert "skipped" in caplog.text
 
 
 def test_attempts_are_read_with_what_became_of_them(tmp_path: Path) -> None:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -8,14 +8,13 @@
 
 import pytest
 
-from amberlug.discovery import read_news
-from amberlug.journal import Journal
-from amberlug.node import Node, wall_ms
-from amberlug.server import Server
-from amberlug.turns import Turns
+from amberlug.core.clock import LoopClock
+from amberlug.core.listing import read_news
+from amberlug.http.server import Server
+from amberlug.platform.turns import Turns
 from stoatusher.settings import read_settings
 from tests.conftest import setup
-from tests.rig import StandIn, hand_in, member, news
+from tests.rig import StandIn, hand_in, member, news, node_in
 
 HELD_UP = 0.4
 
@@ -37,11 +36,12 @@
     async def scenario() -> None:
         endpoint = await StandIn().start()
         settings = read_settings(setup(Weights="nominal"))
-        node = Node(settings, 1, Journal(tmp_path, 10**6, 0), ("127.0.0.1", 1), 9, turns)
+        node = node_in(tmp_path, settings)
         node.listed(read_news(json.loads(news(member(endpoint.port))), list(settings.kinds)))
         node.restore()
         loop = asyncio.get_running_loop()
-        listener = await loop.create_server(Server(settings, node, wall_ms, 9), "127.0.0.1", 0)
+        server = Server(settings, node, LoopClock().wall_ms, turns.waited_us, 9)
+        listener = await loop.create_server(server, "127.0.0.1", 0)
         with socket.create_connection(listener.sockets[0].getsockname()[:2]) as client:
             await asyncio.sleep(0.05)  # the connection is taken in
             head = "".join(f"{name}: {value}\r\n" for name, value in hand_in("m1").items())
