Serve hand-ins inside ASGI hosts; add the commands check and try; split the accounts

Need: hosts want the relay under a path of their own application, and a newcomer could not try the program at all: python -m amberlug ended with 'ROUTER_CONFIG is not set'.

Change: amberlug/asgi.py, pure ASGI, lives with the host's lifespan and shares the daemon's reading of hand-ins (http/handin.py). amberlug/cli: serve (the default), check FILE (all errors, each with its place), try (the real relay among partners of five moods on loopback, judged by a checker that reads only the wires). The stand-ins move from the tests to amberlug/standin, which both use. settings.py reads each field by itself, so that one bad field hides no other. stoatusher/account.py holds the accounts: decide.py and state.py no longer import each other, and a test keeps all modules free of circles.

--- /dev/null
+++ b/amberlug/asgi.py
@@ -0,0 +1,224 @@
+"""Middleware that serves the relay's hand-in protocol inside a host's ASGI application.
+
+Pure ASGI 3, with no framework imported. It opens its relay with the host's lifespan and closes it with that,
+answers what lies under its prefix, and gives handlers the relay in the scope's state:
+
+    app = RelayMiddleware(app, relay=Relay(...), prefix="/relay")
+
+`POST {prefix}/{class}` takes a hand-in as the daemon does, `GET {prefix}/up` tells whether it is open.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from amberlug.core.log import log
+from amberlug.core.messages import BODY_MOST, Refusal
+from amberlug.http.handin import (
+    TOO_LONG,
+    Answer,
+    BadRequestError,
+    answer,
+    check_route,
+    read_message,
+    refusal_of,
+)
+from amberlug.library.relay import Relay
+
+Scope = MutableMapping[str, Any]
+Event = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Event]]
+Send = Callable[[Event], Awaitable[None]]
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+READING_FOR = 2.0  # seconds for a whole body
+READING_MOST = 256  # bodies that are read at once: with 64 KiB each, a bound on memory
+BUSY_RETRY_US = 1_000_000
+NOT_OPEN: Answer = (503, "the relay is not open", BUSY_RETRY_US)
+
+
+class _GoneError(Exception):
+    """The client has left."""
+
+
+class RelayMiddleware:
+    """An ASGI application round another."""
+
+    def __init__(self, app: Application, relay: Relay, prefix: str = "/relay") -> None:
+        if not prefix.startswith("/") or prefix.endswith("/"):
+            raise ValueError(f"the prefix must begin with a slash and not end with one: {prefix!r}")
+        self._app, self.relay, self._prefix = app, relay, prefix
+        self._reading = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await self._live(scope, receive, send)
+            return
+        path = self._below(scope)
+        if path is None:
+            # The host gives each request a copy of the lifespan's state, or none at all.
+            state = {**scope.get("state", {}), "relay": self.relay}
+            await self._app({**scope, "state": state}, receive, send)
+        elif scope["type"] == "http":
+            await self._serve(scope, path, receive, send)
+        else:
+            await receive()
+            await send({"type": "websocket.close", "code": 1000})  # before it is accepted: answered 403
+
+    def _below(self, scope: Scope) -> str | None:
+        """The path under the prefix, if it lies there; a root path that the host mounted it at is passed."""
+        path: str = scope["path"]
+        root: str = scope.get("root_path", "")
+        if root and path.startswith(root):
+            path = path[len(root) :]
+        under = path == self._prefix or path.startswith(self._prefix + "/")
+        return path[len(self._prefix) :] if under else None
+
+    # The host's life.
+
+    async def _live(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Open before the application starts, and close after it has stopped: its handlers use the relay."""
+        await receive()
+        try:
+            await self.relay.open()
+        except (OSError, ValueError, RuntimeError) as error:
+            await send({"type": "lifespan.startup.failed", "message": f"relay: {error}"})
+            return
+        inner = _Inner(self._app, {**scope, "state": scope.setdefault("state", {})})
+        scope["state"]["relay"] = self.relay
+        try:
+            failed = await inner.ask("startup")
+            await send(failed or {"type": "lifespan.startup.complete"})
+            if failed is None:
+                await receive()
+                failed = await inner.ask("shutdown")
+                await self.relay.close()
+                await send(failed or {"type": "lifespan.shutdown.complete"})
+        finally:
+            # Guards against a host that cancels its lifespan, or fails: what is held stays in the folder.
+            inner.cancel()
+            self.relay.abandon()
+
+    # Hand-ins.
+
+    async def _serve(self, scope: Scope, path: str, receive: Receive, send: Send) -> None:
+        try:
+            said = await self._answer(scope, path, receive)
+        except _GoneError:
+            return
+        except BadRequestError as error:
+            said = error.status, str(error), 0
+        status, text, retry_us = said
+        body = f"{text}\n".encode() if text else b""
+        headers = [(b"content-length", str(len(body)).encode())]
+        if body:
+            headers.append((b"content-type", b"text/plain"))
+        if retry_us > 0:
+            headers.append((b"retry-after", f"{retry_us / 1e6:.3f}".encode()))
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    async def _answer(self, scope: Scope, path: str, receive: Receive) -> Answer:
+        """Tell what a request is answered; `BadRequestError` where it is bad."""
+        if path == "/up":
+            if scope["method"] != "GET":
+                raise BadRequestError(405, "use GET")
+            return (200, "up", 0) if self.relay.is_open else NOT_OPEN
+        # Asked first: nothing that could be read helps where nothing can be taken on.
+        if not self.relay.is_open:
+            return NOT_OPEN
+        headers = [(bytes(name).lower(), bytes(value)) for name, value in scope["headers"]]
+        if (refusal := refusal_of(headers)) is not None:
+            raise BadRequestError(*refusal)
+        settings = self.relay.settings
+        check_route(settings, scope["method"], path)
+        if self._reading >= READING_MOST:
+            return 503, "too many at once", BUSY_RETRY_US
+        self._reading += 1
+        try:
+            body = await _body(receive)
+        finally:
+            self._reading -= 1
+        if not self.relay.is_open:  # it closed while the body came
+            return NOT_OPEN
+        fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in headers}
+        message, left_us = read_message(settings, self.relay.serves, path, fields, body, self.relay.wall_ms())
+        told: asyncio.Future[Refusal | None] = asyncio.get_running_loop().create_future()
+        hand_in = self.relay.admit(message, left_us, lambda it: None if told.done() else told.set_result(it))
+        try:
+            return answer(await _unless_gone(told, receive))
+        finally:
+            self.relay.withdraw(hand_in)  # no harm to one that was settled
+
+
+async def _body(receive: Receive) -> bytes:
+    """Read a whole body, no longer and no slower than is allowed."""
+    body = bytearray()
+    try:
+        async with asyncio.timeout(READING_FOR):
+            while True:
+                event = await receive()
+                if event["type"] == "http.disconnect":
+                    raise _GoneError
+                body += event.get("body", b"")
+                if len(body) > BODY_MOST:
+                    raise BadRequestError(413, TOO_LONG)
+                if not event.get("more_body", False):
+                    return bytes(body)
+    except TimeoutError:
+        raise BadRequestError(408, "the request did not come in time") from None
+
+
+async def _unless_gone(told: asyncio.Future[Refusal | None], receive: Receive) -> Refusal | None:
+    """Wait for the answer; `_GoneError` where the client leaves before it."""
+    if told.done():
+        return told.result()
+    left = asyncio.ensure_future(_gone(receive))
+    try:
+        waits: set[asyncio.Future[Any]] = {told, left}
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        if not told.done():
+            raise _GoneError
+        return told.result()
+    finally:
+        left.cancel()
+
+
+async def _gone(receive: Receive) -> None:
+    """Wait until the client has left."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+class _Inner:
+    """The application's own lifespan, which it may not have."""
+
+    def __init__(self, app: Application, scope: Scope) -> None:
+        self._told: asyncio.Queue[Event] = asyncio.Queue()
+        self._said: asyncio.Queue[Event] = asyncio.Queue()
+        self._task = asyncio.ensure_future(_run(app, scope, self._told.get, self._said.put))
+
+    async def ask(self, what: str) -> Event | None:
+        """Have it start or stop: its event where that failed. One that has no lifespan is passed over."""
+        self._told.put_nowait({"type": f"lifespan.{what}"})
+        said = asyncio.ensure_future(self._said.get())
+        await asyncio.wait({said, self._task}, return_when=asyncio.FIRST_COMPLETED)
+        if not said.done():
+            said.cancel()
+            if not self._task.cancelled() and (error := self._task.exception()) is not None:
+                log(f"the application has no lifespan: {error!r}")
+            return None
+        event = said.result()
+        return event if event["type"] == f"lifespan.{what}.failed" else None
+
+    def cancel(self) -> None:
+        """End it, whatever it does."""
+        self._task.cancel()
+        self._task.add_done_callback(lambda task: task.cancelled() or task.exception())
+
+
+async def _run(app: Application, scope: Scope, receive: Receive, send: Send) -> None:
+    """Run the application inside its task: also one that raises at once."""
+    await app(scope, receive, send)
--- a/amberlug/cli/main.py
+++ b/amberlug/cli/main.py
@@ -1,10 +1,36 @@
-"""The command line."""
+"""The command line: reads the arguments; what a command needs is imported with that command alone."""
 
 from __future__ import annotations
 
-from amberlug.platform import daemon
+import argparse
+from collections.abc import Sequence
+from pathlib import Path
 
 
-def main() -> int:
-    """Run the command; its exit code."""
+def parser() -> argparse.ArgumentParser:
+    """Describe the command line."""
+    it = argparse.ArgumentParser("amberlug", description="A message relay for partner delivery.")
+    commands = it.add_subparsers(dest="command", metavar="COMMAND")
+    commands.add_parser("serve", help="run one relay, configured by ROUTER_* variables (the default)")
+    check = commands.add_parser("check", help="check a configuration: all its errors, each with its place")
+    check.add_argument("file", type=Path)
+    trial = commands.add_parser("try", help="run the relay among stand-ins for some ten seconds")
+    for command in (check, trial):
+        command.add_argument("--json", action="store_true", help="print one JSON object, for machines")
+    return it
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a command; its exit code."""
+    options = parser().parse_args(arguments)
+    if options.command == "check":
+        from amberlug.cli import checking
+
+        return checking.main(options.file, options.json)
+    if options.command == "try":
+        from amberlug.cli import trial
+
+        return trial.main(options.json)
+    from amberlug.platform import daemon
+
     return daemon.main()
--- a/amberlug/library/relay.py
+++ b/amberlug/library/relay.py
@@ -109,13 +109,13 @@
         await self.close()
 
     async def open(self) -> None:
-        """Open the folder and go on with what it holds.
+        """Open the folder and go on with what it holds; one that was closed may be opened again.
 
         Raises `FolderInUseError` where another relay has it, in any process, `OSError` where it can't be
         used, and `ValueError` where the list of endpoints is bad.
         """
-        if self._phase is not _Phase.NEW:
-            raise RuntimeError("a relay is opened once; make another one for the same folder")
+        if self._phase is _Phase.OPEN:
+            raise RuntimeError("the relay is open already")
         self._loop, self._thread = asyncio.get_running_loop(), threading.get_ident()
         loop = self._loop
         self._folder.mkdir(parents=True, exist_ok=True)
@@ -197,7 +197,6 @@
             return taken
         told: asyncio.Future[Refusal | None] = self._loop.create_future()
 
-
         def tell(refusal: Refusal | None) -> None:
             if not told.done():  # cancelled, and not yet withdrawn: what was taken on stays
                 told.set_result(refusal)
--- a/amberlug/platform/daemon.py
+++ b/amberlug/platform/daemon.py
@@ -103,4 +103,3 @@
         print(f"amberlug: {plain(error)}", file=sys.stderr)
         return 2
     return 0
-
--- a/amberlug/platform/notices.py
+++ b/amberlug/platform/notices.py
@@ -92,9 +92,7 @@
     def _write(self, link: Link, notices: list[End]) -> asyncio.Future[Reply]:
         return link.request("POST", "/v1/notices", [], b"".join(line(it) for it in notices))
 
-    async def _post(
-        self, sent: list[End], link: Link | None, written: asyncio.Future[Reply] | None
-    ) -> None:
+    async def _post(self, sent: list[End], link: Link | None, written: asyncio.Future[Reply] | None) -> None:
         """See notices to their answer, or have them sent again."""
         # Guards against an answer or a dial that is held up: a notice that waits behind it is late, and so a
         # message lost. It goes again on another connection meanwhile, which does no harm, but adds to load.
--- /dev/null
+++ b/amberlug/standin/partners.py
@@ -0,0 +1,94 @@
+"""Partners of different moods, whose every call the checker sees."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from amberlug.standin.checker import Call, Checker, Ran
+from amberlug.standin.wire import OK, Answer, Seen, StandIn
+
+Clock = Callable[[], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Mood:
+    """How a partner behaves; shares are of its calls."""
+
+    name: str
+    seconds: tuple[float, float] = (0.01, 0.04)  # least and most time to an answer
+    drops: float = 0.0  # share that it resets unanswered, having run or not
+    errors: float = 0.0  # share that it answers 500
+    per_second: float = 0.0  # calls a second above which it turns away with a wait; 0: any number
+    wait_ms: int = 0
+
+
+STEADY = Mood("steady")
+SLOW = Mood("slow", seconds=(0.2, 0.5))
+LIMITED = Mood("limited", per_second=8.0, wait_ms=300)
+DROPPING = Mood("dropping", drops=0.12, errors=0.05)
+DRAINING = Mood("draining")
+
+
+class Partner(StandIn):
+    """One endpoint."""
+
+    def __init__(self, endpoint: str, destination: int, mood: Mood, checker: Checker, clock: Clock) -> None:
+        super().__init__(None)
+        self.endpoint, self.destination, self.mood = endpoint, destination, mood
+        self.calls = self.delivered = self.waits = self.dropped = 0
+        self._checker, self._clock = checker, clock
+        self._chance = random.Random(endpoint)
+        self._out: dict[asyncio.StreamWriter, Call] = {}
+        self._window: tuple[float, int] = 0.0, 0
+        self.on_request, self.on_close = self._called, self._closed
+
+    def _called(self, seen: Seen) -> bool:
+        self.calls += 1
+        call = self._checker.began(seen.name, self.endpoint, self._clock())
+        if call is None:
+            seen.answer((400, [], b""))
+            return True
+        self._out[seen.writer] = call
+        if self._over_limit():
+            self.waits += 1
+            self._checker.told_wait(self.destination, self._clock(), self.mood.wait_ms / 1000)
+            self._answer(seen, (429, [("Wait-Ms", str(self.mood.wait_ms))], b""), Ran.NEVER)
+            return True
+        drawn = self._chance.random()
+        seconds = self._chance.uniform(*self.mood.seconds)
+        loop = asyncio.get_running_loop()
+        if drawn < self.mood.drops:
+            loop.call_later(seconds, self._drop, seen)
+        elif drawn < self.mood.drops + self.mood.errors:
+            loop.call_later(seconds, self._answer, seen, (500, [], b""), Ran.MAY)
+        else:
+            loop.call_later(seconds, self._answer, seen, OK, Ran.YES)
+        return True
+
+    def _over_limit(self) -> bool:
+        if not self.mood.per_second:
+            return False
+        second, count = self._window
+        now = self._clock()
+        self._window = (second, count + 1) if now < second + 1 else (now, 1)
+        return self._window[1] > self.mood.per_second
+
+    def _answer(self, seen: Seen, answer: Answer, ran: Ran) -> None:
+        call = self._out.pop(seen.writer, None)
+        if call is None:
+            return  # given up meanwhile
+        self.delivered += ran is Ran.YES
+        self._checker.ended(call, self._clock(), ran, delivered=ran is Ran.YES)
+        seen.answer(answer)
+
+    def _drop(self, seen: Seen) -> None:
+        self.dropped += 1
+        seen.reset()
+
+    def _closed(self, writer: asyncio.StreamWriter) -> None:
+        call = self._out.pop(writer, None)
+        if call is not None:
+            self._checker.ended(call, self._clock(), Ran.MAY)
--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -1,8 +1,8 @@
-"""When, where and whether each message is sent: every decision of a relay, and every tuned value.
+"""When, where and whether each message is sent: every decision of a relay in one life.
 
-Types, events, actions: `stoatusher/interface.py`; records: `stoatusher/state.py`. Ordinary path: an `Account`
-may spend M units in a window w that slides by steps s. A call is a unit: reserved while out (r), consumed in
-its start's bucket once answered (c). It goes only if c + r + 1 <= M, else at a timer at the computed opening.
+Types, events, actions: `stoatusher/interface.py`; records: `stoatusher/state.py`. Ordinary path: a message
+goes when its destination's account has a unit to spend (`stoatusher/account.py`), else at a timer at its
+opening.
 """
 
 import itertools
@@ -11,28 +11,13 @@
 from collections.abc import Iterator, Sequence
 
 from stoatusher import interface as api
+from stoatusher.account import FIRST_GUESS_US, KEPT, OPEN, SECOND, SLOT_SHARE, Account
 from stoatusher.interface import Effect, Group, ListKind, Result, State
-from stoatusher.state import Buckets, Call, Destination, Endpoint, Message, Records
-
-SECOND = 1_000_000
-OPEN = float("inf")
-WINDOW_US = SECOND  # shortest w: longer smooths bursts that a limit would take, shorter overruns it at edges
-STEPS = 50  # s = w / STEPS; fewer are cheaper and open later
-LEAST_UNITS = 2  # least M from a rate: of many relays few send at once, and refusals correct the rest
-ROOM = 2.5  # part of a listed rate over an even part: traffic is uneven, and refusals correct too much
+from stoatusher.state import Call, Destination, Endpoint, Message, Records
+
 RATE_NOISE = 0.3  # a reported limit this far from the one in use replaces it; nearer is noise
-RISE = 1.25  # growth of a learned M in a window without refusal
-LIFT = 8  # so many such windows drop a learned M; fewer find a freed limit sooner, at more refusals
-KEPT = 128  # buckets, and starts for the cold bound, that are kept: bounds memory
 SHUT = 3  # windows of one told wait that look like a destination that is shut
-TRIES = 2  # w is stretched to no more than the longest life over this: fewer tries leave more to others
-FLOOR = 0.7  # part of an even part of a listed rate that a learned M keeps: less starves what the limit takes
 BACK_OFF = 0.55, 1.0  # what a refusal leaves of a learned M of one or less; drawn, so that relays part ways
-CROWD = 0.25  # power of the number of relays that divides it: more may stand in line unseen
-PATIENCE = 10  # usual answer times until an answer is overdue; fewer give up work that would be done
-LEAST_PATIENCE_US = 3 * SECOND  # shortest patience: a few quick answers must not make a slow one overdue
-FIRST_GUESS_US = SECOND // 2  # usual answer time before the first answer
-SLOT_SHARE = 0.5  # part of the slots that one account may hold: leaves room for the others
 OUTAGE_RATE = 0.5  # failure rate that looks like an outage
 ANSWER_WEIGHT = 0.15  # weight of the newest answer in the failure rate, good or bad
 SILENCE_WEIGHT = 0.4  # weight of a silence in it: two in a row look like an outage
@@ -48,73 +33,6 @@
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMED_OUT, Result.RESET, Result.CALLED_OFF, Result.SPOILT)
 
 
-class Account:
-    """M, w, s, buckets, reservations and blocked-until of a destination, or of one route apart."""
-
-    def __init__(self, settings: api.Settings, rate: float | None) -> None:
-        self.settings = settings
-        self.reserved: dict[Call, None] = {}  # oldest first
-        self.blocked_until, self.usual_us = 0, FIRST_GUESS_US
-        self.learned, self.learned_us = OPEN, 0  # M learned from the last refusal, and when
-        self.pace, self.pace_us = 1.0, 0  # own calls done a second, and when that was last reckoned
-        self.set_rate(rate)
-
-    def set_rate(self, rate: float | None) -> None:
-        """Take M and w from a listed or reported rate of all relays; without one the account is open."""
-        self.rate, self.units, self.window, self.even = rate, OPEN, WINDOW_US, 0.0
-        if rate is not None:
-            self.even = rate * self.window / SECOND / self.settings.relays
-            self.units = max(LEAST_UNITS, self.even * min(self.settings.relays, ROOM))
-        self.stretched = self.window
-        self.longest = max(kind.deadline_us for kind in self.settings.classes.values()) // TRIES
-        self.buckets = Buckets(self.window // STEPS, KEPT)
-
-    def limit(self, at_us: int) -> float:
-        quiet = (at_us - self.learned_us) // self.stretched
-        return self.units if quiet >= LIFT else min(self.units, self.learned * RISE**quiet)
-
-    def patience_us(self) -> int:
-        return max(LEAST_PATIENCE_US, PATIENCE * self.usual_us)
-
-    def overdue(self, at_us: int) -> int:
-        """Calls out beyond patience: they no longer count as reservations; `crowded` bounds them instead."""
-        late = at_us - self.patience_us()
-        return sum(1 for _ in itertools.takewhile(lambda call: call.start_us <= late, self.reserved))
-
-    def crowded(self, now_us: int) -> bool:
-        """Whether a destination, silent or slow, holds as many slots as one may: it guards the others."""
-        share = SLOT_SHARE / (5 if self.overdue(now_us) else 1)
-        return len(self.reserved) >= max(1, self.settings.slots * share)
-
-    def inside(self, at_us: int) -> Iterator[tuple[int, int, int]]:  # w is stretched where M is below one
-        return self.buckets.inside(at_us, int(self.window / min(1.0, self.limit(at_us))))
-
-    def excess(self, at_us: int) -> float:
-        """Admission: c + r + 1 <= M; what is over it."""
-        consumed = sum(units for _, units, _ in self.inside(at_us))
-        return consumed + len(self.reserved) - self.overdue(at_us) + 1 - max(1.0, self.limit(at_us))
-
-    def opening(self, now_us: int) -> int:
-        """When a unit fits, after any told wait; one window ahead at most, or when a learned M rises."""
-        at = max(now_us, self.blocked_until)
-        if (excess := self.excess(at)) <= 0:
-            return at
-        for leaves_us, units, _ in self.inside(at):
-            if (excess := excess - units) <= 0:
-                return min(leaves_us, at + self.stretched - (at - self.learned_us) % self.stretched)
-        return max(at, next(iter(self.reserved)).start_us + self.patience_us()) + 1  # an answer comes first
-
-    def refused(self, now_us: int, part: float) -> None:
-        """Learn M from a refusal: what the window holds of calls that were taken on, or less and less."""
-        # M below one: one unit in a longer w, against many relays that spend one each where refusals count.
-        limit, least = self.limit(now_us), max(1.0, self.even)
-        taken_on = sum(done for *_, done in self.buckets.inside(now_us, self.window))
-        lowest = min(self.even or OPEN, max(FLOOR * self.even, self.window / self.longest))
-        lower = max(limit * part / self.settings.relays**CROWD, lowest)
-        self.learned = max(least, taken_on) if limit > least else lower
-        self.learned_us, self.stretched = now_us, int(self.window / min(1.0, self.learned))
-
-
 def may_repeat(message: Message, now_us: int) -> bool:
     """May-have-run: unsafe ones never again, keyed ones while their key is remembered."""
     effect, oldest = message.kind.effect, now_us - message.kind.key_life_us
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -10,7 +10,8 @@
 from itertools import chain
 
 from stoatusher import interface as api
-from stoatusher.decide import ANSWER_WEIGHT, MAY_HAVE_RUN, Account, Sender, may_refuse, may_repeat
+from stoatusher.account import Account
+from stoatusher.decide import ANSWER_WEIGHT, MAY_HAVE_RUN, Sender, may_refuse, may_repeat
 from stoatusher.interface import Effect, Group, Result, State
 from stoatusher.state import NEVER, Call, Destination, Endpoint, Message
 
--- a/stoatusher/settings.py
+++ b/stoatusher/settings.py
@@ -4,7 +4,7 @@
 Nothing here decides anything: a key that may be absent stands for the rule or trait being absent.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from stoatusher.interface import Effect, Group, Kind, MessageClass, Settings, Tenant
@@ -74,65 +74,106 @@
     )
 
 
+def _classes(table: Mapping[str, Any]) -> dict[str, MessageClass]:
+    return {it.name: it for it in map(_message_class, _list(table, "Categories"))}
+
+
 def _tenant(item: Any) -> Tenant:
     if not isinstance(item, Mapping):
         raise ValueError(f"setting Accounts has an entry that is no object: {item!r}")
     return Tenant(name=str(_get(item, "Name")), quota_per_s=_number(item, "QuotaPerS", 0))
 
 
-def read_settings(table: Mapping[str, Any]) -> Settings:
-    """Translate a settings object, checking every key that is used."""
-    kinds = [str(name) for name in _list(table, "Kinds")]
-    zones = [str(name) for name in _list(table, "Zones")]
-    bundles = _list(table, "FamilyInfo.BundleMax")
-    apart = _list(table, "FamilyInfo.RoutesApart")
+def _tenants(table: Mapping[str, Any]) -> dict[str, Tenant]:
+    return {it.name: it for it in map(_tenant, _list(table, "Accounts") if "Accounts" in table else [])}
+
+
+def _kinds(table: Mapping[str, Any]) -> dict[str, Kind]:
+    names = [str(name) for name in _list(table, "Kinds")]
+    bundles, apart = _list(table, "FamilyInfo.BundleMax"), _list(table, "FamilyInfo.RoutesApart")
     for size in bundles:
         if isinstance(size, bool) or not isinstance(size, int) or size < 1:
             raise ValueError(f"setting FamilyInfo.BundleMax is out of range: {size!r}")
-    info = _get(table, "FamilyInfo")
-    fees = _list(table, "FamilyInfo.Carriage") if "Carriage" in info else []
-    classes = [_message_class(item) for item in _list(table, "Categories")]
-    tenants = [_tenant(item) for item in table.get("Accounts", [])]
+    each = zip(names, bundles, apart, strict=False)
+    return {name: Kind(name, int(size), bool(own)) for name, size, own in each}
+
+
+def _fees(table: Mapping[str, Any]) -> dict[str, float]:
+    zones = [str(name) for name in _list(table, "Zones")]
+    fees = _list(table, "FamilyInfo.Carriage") if "Carriage" in _get(table, "FamilyInfo") else []
+    return {zone: float(fee) for zone, fee in zip(zones, fees, strict=False)}
+
+
+def _asks(table: Mapping[str, Any]) -> bool:
+    return _word(table, "RegistryMode", ("push", "ask")) == "ask"
+
+
+def _weights(table: Mapping[str, Any]) -> str:
+    return _word(table, "Weights", ("none", "nominal", "rough", "live"))
+
+
+def _report_names(table: Mapping[str, Any]) -> tuple[str, ...]:
     via = _word(table, "LoadReport.Via", ("answers", "probe", "none"))
-    quiet = "KeyQuietUs" in _get(table, "Rules")
-    relays = _whole(table, "Balancers", 1)
-    asks = _word(table, "RegistryMode", ("push", "ask")) == "ask"
-    return Settings(
-        relays=relays,
-        ordinal=_whole(table, "Ordinal", 0),
-        zone=str(_get(table, "Locality")),
-        classes={item.name: item for item in classes},
-        tenants={item.name: item for item in tenants},
-        kinds={
-            name: Kind(name, int(size), bool(own))
-            for name, size, own in zip(kinds, bundles, apart, strict=False)
-        },
-        fees={zone: float(fee) for zone, fee in zip(zones, fees, strict=False)},
-        slots=_whole(table, "FamilyInfo.Slots", 1),
-        max_open=_whole(table, "Bounds.MaxOpen", 1),
-        most_attempts=_whole(table, "Bounds.MostTries", 1),
-        second_copies=_flag(table, "Bounds.SecondCopies"),
-        may_cancel=_flag(table, "Bounds.Cancel"),
-        may_probe=_flag(table, "Bounds.Probes"),
-        may_tell_peers=_flag(table, "Bounds.Peers"),
-        may_advise=_flag(table, "Bounds.RetryAfter"),
-        max_advice_us=_whole(table, "Bounds.MaxRetryAfterUs", 0),
-        idle_us=_whole(table, "Bounds.ConnIdleUs", 0),
-        dial_us=_whole(table, "Bounds.DialTimeoutUs", 0),
-        asks=asks,
-        rates_listed=_word(table, "Weights", ("none", "nominal", "rough", "live")) in ("nominal", "rough"),
-        rates_rough=_get(table, "Weights") == "rough",
-        halving=_word(table, "FamilyInfo.Late", ("linear", "halving")) == "halving",
-        over_share_worth=_number(table, "OverShareWorth", 0) if "OverShareWorth" in table else 1.0,
-        refusal_cost=_number(table, "FamilyInfo.RefusalCost", 0) if "RefusalCost" in info else 0.0,
-        report_names=tuple(str(name) for name in _list(table, "LoadReport.Names")) if via != "none" else (),
-        answer_slack_us=_whole(table, "Rules.AnswerSlackUs", 0),
-        ask_within_us=_whole(table, "Rules.AskWithinUs", 1) if asks else _NEVER,
-        drain_grace_us=_whole(table, "Rules.DrainGraceUs", 0),
-        cold_share=_number(table, "Rules.ColdShare", 0, 1),
-        warm_us=_whole(table, "Rules.WarmWithinUs", 0),
-        overload_factor=_number(table, "Rules.OverloadFactor", 0),
-        overload_us=_whole(table, "Rules.OverloadForUs", 1),
-        key_quiet_us=_whole(table, "Rules.KeyQuietUs", 0) if quiet else 0,
-        granularity_us=_whole(table, "GranularityUs", 0),
-    )
+    return tuple(str(name) for name in _list(table, "LoadReport.Names")) if via != "none" else ()
+
+
+def _refusal_cost(table: Mapping[str, Any]) -> float:
+    told = "RefusalCost" in _get(table, "FamilyInfo")
+    return _number(table, "FamilyInfo.RefusalCost", 0) if told else 0.0
+
+
+# How each field is read, by itself: one that is bad hides no other.
+_READ: Mapping[str, Callable[[Mapping[str, Any]], Any]] = {
+    "kinds": _kinds,
+    "relays": lambda it: _whole(it, "Balancers", 1),
+    "ordinal": lambda it: _whole(it, "Ordinal", 0),
+    "zone": lambda it: str(_get(it, "Locality")),
+    "classes": _classes,
+    "tenants": _tenants,
+    "fees": _fees,
+    "slots": lambda it: _whole(it, "FamilyInfo.Slots", 1),
+    "max_open": lambda it: _whole(it, "Bounds.MaxOpen", 1),
+    "most_attempts": lambda it: _whole(it, "Bounds.MostTries", 1),
+    "second_copies": lambda it: _flag(it, "Bounds.SecondCopies"),
+    "may_cancel": lambda it: _flag(it, "Bounds.Cancel"),
+    "may_probe": lambda it: _flag(it, "Bounds.Probes"),
+    "may_tell_peers": lambda it: _flag(it, "Bounds.Peers"),
+    "may_advise": lambda it: _flag(it, "Bounds.RetryAfter"),
+    "max_advice_us": lambda it: _whole(it, "Bounds.MaxRetryAfterUs", 0),
+    "idle_us": lambda it: _whole(it, "Bounds.ConnIdleUs", 0),
+    "dial_us": lambda it: _whole(it, "Bounds.DialTimeoutUs", 0),
+    "asks": _asks,
+    "rates_listed": lambda it: _weights(it) in ("nominal", "rough"),
+    "rates_rough": lambda it: _weights(it) == "rough",
+    "halving": lambda it: _word(it, "FamilyInfo.Late", ("linear", "halving")) == "halving",
+    "over_share_worth": lambda it: _number(it, "OverShareWorth", 0) if "OverShareWorth" in it else 1.0,
+    "refusal_cost": _refusal_cost,
+    "report_names": _report_names,
+    "answer_slack_us": lambda it: _whole(it, "Rules.AnswerSlackUs", 0),
+    "ask_within_us": lambda it: _whole(it, "Rules.AskWithinUs", 1) if _asks(it) else _NEVER,
+    "drain_grace_us": lambda it: _whole(it, "Rules.DrainGraceUs", 0),
+    "cold_share": lambda it: _number(it, "Rules.ColdShare", 0, 1),
+    "warm_us": lambda it: _whole(it, "Rules.WarmWithinUs", 0),
+    "overload_factor": lambda it: _number(it, "Rules.OverloadFactor", 0),
+    "overload_us": lambda it: _whole(it, "Rules.OverloadForUs", 1),
+    "key_quiet_us": lambda it: (
+        _whole(it, "Rules.KeyQuietUs", 0) if "KeyQuietUs" in _get(it, "Rules") else 0
+    ),
+    "granularity_us": lambda it: _whole(it, "GranularityUs", 0),
+}
+
+
+def read_settings(table: Mapping[str, Any]) -> Settings:
+    """Translate a settings object, checking every key that is used; `ValueError` names the first bad one."""
+    return Settings(**{name: read(table) for name, read in _READ.items()})
+
+
+def problems(table: Mapping[str, Any]) -> list[str]:
+    """All that is wrong with a settings object: a line for each field that can't be read."""
+    found: dict[str, None] = {}
+    for read in _READ.values():
+        try:
+            read(table)
+        except (ValueError, TypeError) as error:
+            found[str(error)] = None
+    return list(found)
--- a/stoatusher/state.py
+++ b/stoatusher/state.py
@@ -6,38 +6,13 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
+from stoatusher.account import Account
 from stoatusher.interface import Action, Entry, Listed, ListKind, MessageClass, State, Timer
 
-if TYPE_CHECKING:
-    from stoatusher.decide import Account
-
 NEVER = -(1 << 62)
 
 
-@dataclass(slots=True, eq=False)
-class Buckets:
-    """Units consumed, in buckets of size `slide`: all of them, and those of calls that were taken on."""
-
-    slide: int
-    kept: int
-    units: dict[int, tuple[int, int]] = field(default_factory=dict)
-
-    def add(self, at_us: int, unit: int, taken_on: int) -> None:
-        number = at_us // self.slide
-        had = self.units.get(number, (0, 0))
-        self.units[number] = had[0] + unit, had[1] + taken_on
-        if len(self.units) > self.kept:
-            del self.units[min(self.units)]
-
-    def inside(self, at_us: int, window: int) -> Iterator[tuple[int, int, int]]:
-        """When each bucket leaves the window, the first to leave first, with its units."""
-        first = (at_us - window) // self.slide + 1
-        for number in sorted(number for number in self.units if number >= first):
-            yield (number * self.slide + window, *self.units[number])
-
-
 @dataclass(slots=True, eq=False)
 class Endpoint:
     """One endpoint: connections at hand, health, and what the bound on a cold one needs."""
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -12,7 +12,8 @@
 
 from amberlug import library
 from amberlug.library import Call, Effect, Endpoint, Message, Relay, StaticEndpoints, message_class
-from tests.rig import PATIENCE, ROOT
+from amberlug.standin.wire import PATIENCE
+from tests.rig import ROOT
 
 SETTINGS = library.settings(
     [
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -9,29 +9,23 @@
 import signal
 import socket
 import sys
-import time
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-import h11
-
 from amberlug.core.clock import LoopClock
 from amberlug.core.journal import Journal
 from amberlug.core.node import Node
 from amberlug.http.calls import Caller
 from amberlug.http.link import Link, Reply, dial
 from amberlug.platform.notices import Notices
+from amberlug.standin.wire import PATIENCE, Platform, StandIn
 from stoatusher.interface import Settings
 from tests.conftest import setup
 
 ROOT = Path(__file__).parents[1]
-PATIENCE = 20.0  # seconds after which a test that waits for an event has failed
-
-Answer = tuple[int, list[tuple[str, str]], bytes]
-OK: Answer = (200, [], b"")
 
 
 def run(scenario: Coroutine[Any, Any, None]) -> None:
@@ -42,148 +36,6 @@
     asyncio.run(limited())
 
 
-@dataclass
-class Seen:
-    """A request as a stand-in saw it, with the means to answer it."""
-
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    writer: asyncio.StreamWriter
-    http: h11.Connection
-    at: float
-
-    @property
-    def name(self) -> str:
-        return self.headers.get("req-id", "")
-
-    def answer(self, answer: Answer) -> None:
-        status, headers, body = answer
-        self.write(h11.Response(status_code=status, headers=[*headers, ("Content-Length", str(len(body)))]))
-        self.write(h11.Data(data=body))
-        self.write(h11.EndOfMessage())
-
-    def write(self, event: Any) -> None:
-        self.writer.write(self.http.send(event) or b"")
-
-    def reset(self) -> None:
-        self.writer.transport.abort()
-
-
-class StandIn:
-    """A peer: `answers` are used up in order, then `usual`; None leaves the request unanswered."""
-
-    def __init__(self, usual: Answer | None = OK, *answers: Answer | None) -> None:
-        self.usual, self.answers = usual, list(answers)
-        self.seen: list[Seen] = []
-        self.dials = 0
-        self.closed = 0
-        self.on_request: Callable[[Seen], bool] | None = None
-        self._news = asyncio.Condition()
-        self._server: asyncio.Server | None = None
-        self.port = 0
-
-    async def start(self, port: int = 0) -> StandIn:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    async def stop(self) -> None:
-        assert self._server is not None
-        self._server.close()
-        for seen in self.seen:
-            seen.writer.transport.abort()
-
-    async def until(self, true: Callable[[], bool]) -> None:
-        async with asyncio.timeout(PATIENCE), self._news:
-            await self._news.wait_for(true)
-
-    async def requests(self, count: int) -> list[Seen]:
-        await self.until(lambda: len(self.seen) >= count)
-        return self.seen
-
-    async def _told(self) -> None:
-        async with self._news:
-            self._news.notify_all()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.dials += 1
-        http = h11.Connection(h11.SERVER)
-        try:
-            while (seen := await self._request(reader, writer, http)) is not None:
-                self.seen.append(seen)
-                if self.on_request is None or not self.on_request(seen):
-                    answer = self.answers.pop(0) if self.answers else self.usual
-                    if answer is not None:
-                        seen.answer(answer)
-                await self._told()
-                if http.our_state is h11.DONE:
-                    http.start_next_cycle()
-        except (ConnectionError, h11.RemoteProtocolError):
-            pass
-        finally:
-            self.closed += 1
-            writer.close()
-            await self._told()
-
-    async def _request(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, http: h11.Connection
-    ) -> Seen | None:
-        head, body = None, b""
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                data = await reader.read(65536)
-                if not data and http.their_state is not h11.SEND_BODY:
-                    return None
-                http.receive_data(data)
-                if http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:  # answered meanwhile
-                    http.start_next_cycle()
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                headers = {name.decode(): value.decode() for name, value in head.headers}
-                target, method = head.target.decode(), head.method.decode()
-                return Seen(method, target, headers, body, writer, http, time.monotonic())
-            elif isinstance(event, h11.ConnectionClosed):
-                return None
-
-
-class Platform(StandIn):
-    """Discovery: holds watches open, takes notices."""
-
-    def __init__(self) -> None:
-        super().__init__((204, [], b""))
-        self.watches: list[Seen] = []
-        self.on_request = self._watch
-
-    def _watch(self, seen: Seen) -> bool:
-        if not seen.path.startswith("/discovery/hosts"):
-            return False
-        seen.write(h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")]))
-        seen.write(h11.Data(data=b"\n"))
-        self.watches.append(seen)
-        return True
-
-    def tell(self, line: bytes) -> None:
-        self.watches[-1].write(h11.Data(data=line + b"\n"))
-
-    async def watched(self, count: int) -> None:
-        await self.until(lambda: len(self.watches) == count)
-
-    @property
-    def notices(self) -> list[dict[str, Any]]:
-        posts = [seen for seen in self.seen if seen.path == "/v1/notices"]
-        return [json.loads(line) for seen in posts for line in seen.body.splitlines()]
-
-    async def noticed(self, count: int = 1) -> list[dict[str, Any]]:
-        await self.until(lambda: len(self.notices) >= count)
-        return self.notices
-
-
 def member(port: int, name: str = "e", phase: str = "in_service", kind: str = "plain") -> dict[str, Any]:
     return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": "north", "flavor": kind, "cell": 1,
             "phase": phase, "size": 50.0, "up_since_ms": 0}  # fmt: skip
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -3,7 +3,7 @@
 import pytest
 
 from stoatusher import interface as api
-from stoatusher.decide import LIFT, OPEN, RISE, Account
+from stoatusher.account import LIFT, OPEN, RISE, Account
 from stoatusher.interface import Entry, Result, State
 from stoatusher.settings import read_settings
 from stoatusher.state import Call, Endpoint
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -8,9 +8,10 @@
 
 from amberlug.http.calls import report, wait_us
 from amberlug.http.link import Reply
+from amberlug.standin.wire import OK, Seen, StandIn
 from stoatusher.interface import Result
 from tests.conftest import Relay, of
-from tests.rig import OK, Seen, StandIn, run, world
+from tests.rig import run, world
 
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from tests.rig import Relay, StandIn, hand_in, run, world
+from amberlug.standin.wire import StandIn
+from tests.rig import Relay, hand_in, run, world
 
 HEAD = "POST /safe HTTP/1.1\r\nHost: a\r\n" + "".join(f"{k}: {v}\r\n" for k, v in hand_in("m1").items())
 IN_TIME = 3.0  # seconds from the connect to an error or a close
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,133 @@
+"""The command line: what `check` finds, what `try` shows, and what a bad call says."""
+
+import asyncio
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from amberlug.cli import trial
+from amberlug.cli.main import main
+from amberlug.platform.checking import check
+from amberlug.platform.config import read_config
+from amberlug.standin import deployment
+from tests.conftest import setup
+from tests.rig import ROOT, member
+
+
+def config(**changes: Any) -> dict[str, Any]:
+    return {
+        "name": "n0", "seed": "8c1f30d27a5be964", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:7071",
+        "limits": {"disk_mb": 3.0, "memory_mb": 64, "sockets": 256},
+        "known": {"revision": 1, "complete": True, "members": [member(7072)]}, "settings": setup(),
+    } | changes  # fmt: skip
+
+
+def found(data: Any) -> dict[str, str]:
+    return {it.where: it.what for it in check(json.dumps(data))}
+
+
+def test_a_good_configuration_has_no_problems() -> None:
+    assert found(config()) == {}
+    assert found(config(settings=deployment.settings(), known={"revision": 1, "members": []})) == {}
+
+
+def test_all_problems_are_told_each_with_its_place() -> None:
+    settings = setup(Rules__ColdShare=7, Bounds__MaxOpen="many", Weights="heavy")
+    settings["Categories"][1]["KeyTtlUs"] = -1
+    del settings["FamilyInfo"]["Slots"]
+    members = [member(7072), member(7073), member(7074, "e2", kind="none"), 5, member(99999, "e4")]
+    problems = found(
+        config(listen="here", seed="xyz", settings=settings, limits={"sockets": -1, "memory_mb": 64},
+               known={"revision": "one", "members": members})
+    )  # fmt: skip
+    assert list(problems) == [
+        "listen", "seed", "limits.sockets", "limits.disk_mb", "settings.KeyTtlUs",
+        "settings.FamilyInfo.Slots", "settings.Bounds.MaxOpen", "settings.Weights",
+        "settings.Rules.ColdShare", "known.revision", "known.members[1]", "known.members[2]",
+        "known.members[3]", "known.members[4]", ]  # fmt: skip
+    assert "listed twice" in problems["known.members[1]"]
+    assert "unknown kind" in problems["known.members[2]"]
+
+
+@pytest.mark.parametrize(
+    ("text", "where"),
+    [("", "line 1 column 1"), ('{\n "name" 3}', "line 2 column 9"), ("[]", "the whole"),
+     ("[" * 100_000, "the whole"), ("{}", "seed")],
+)  # fmt: skip
+def test_what_is_no_configuration_at_all_is_one_clear_problem(text: str, where: str) -> None:
+    assert check(text)[0].where == where
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"listen": "127.0.0.1"},
+        {"seed": None},
+        {"limits": {}},
+        {"limits": {"disk_mb": 3.0, "memory_mb": 64, "sockets": 20}},
+        {"settings": []},
+        {"settings": setup(Rules__WarmWithinUs=None)},
+        {"known": {"revision": 1, "complete": True, "members": [member(0)]}},
+    ],
+)
+def test_what_a_start_refuses_the_check_finds(tmp_path: Path, changes: dict[str, Any]) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config(**changes)))
+    environ = {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(tmp_path)}
+    with pytest.raises(ValueError):  # noqa: PT011 - any of its lines
+        read_config(environ)
+    assert check(path.read_text()) != []
+
+
+def test_the_check_command(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config()))
+    assert main(["check", str(path)]) == 0
+    assert capsys.readouterr().out == f"{path}: no problems\n"
+    path.write_text(json.dumps(config(seed="xyz")))
+    assert main(["check", str(path)]) == 1
+    assert capsys.readouterr().out == f"{path}: seed: not a hexadecimal number: 'xyz'\n"
+    assert main(["check", str(path), "--json"]) == 1
+    assert json.loads(capsys.readouterr().out)["problems"][0]["where"] == "seed"
+    assert main(["check", str(tmp_path / "none.json")]) == 2
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+def test_try_plays_the_real_relay_and_keeps_every_rule(capsys: pytest.CaptureFixture[str]) -> None:
+    assert trial.main(as_json=True, messages=60, seconds=1.0) == 0
+    figures = json.loads(capsys.readouterr().out)
+    assert (figures["handed_in"], figures["broken"]) == (60, [])
+    assert figures["taken"] + figures["refused"] + figures["unanswered"] == 60
+    assert [row["partner"] for row in figures["partners"]] == [
+        "steady", "slow", "limited", "dropping", "draining"
+    ]  # fmt: skip
+    ends = sum(row["delivered"] + row["handed_back"] + row["given_up"] for row in figures["partners"])
+    assert ends == figures["taken"]
+
+
+def test_try_shows_a_table_and_tells_what_was_broken() -> None:
+    row = {"partner": "steady", "messages": 1, "calls": 2, "delivered": 1, "handed_back": 0, "given_up": 0,
+           "waits": 0, "median_ms": None}  # fmt: skip
+    figures = {"handed_in": 1, "taken": 1, "refused": 0, "unanswered": 0, "partners": [row], "broken": []}
+    assert trial.table(figures).splitlines()[-1] == "every rule was kept"
+    text = trial.table(figures | {"broken": ["m1: lost, with 0 calls"]})
+    assert text.splitlines()[-1] == "BROKEN m1: lost, with 0 calls"
+
+
+def test_a_bad_command_is_told_and_serve_is_the_default() -> None:
+    async def scenario() -> None:
+        environ = {name: value for name, value in os.environ.items() if not name.startswith("ROUTER_")}
+        unset = b"ROUTER_CONFIG is not set"
+        for arguments, said in (((), unset), (("serve",), unset), (("none",), b"usage")):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "amberlug", *arguments,
+                cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE,
+            )  # fmt: skip
+            _, errors = await process.communicate()
+            assert (process.returncode, said in errors) == (2, True)
+
+    asyncio.run(scenario())
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -12,8 +12,10 @@
 
 CLASSES = ["safe", "keyed", "zoned", "unsafe", "ordered"]
 NEVER_RAN = {Result.REFUSED, Result.UNCONNECTED, Result.UNSENT}
-ENDPOINTS = {name: api.Entry(name, zone, "plain", 1, State.IN, 3.0) for name, zone in
-             [("a", "north"), ("b", "south"), ("c", "north")]}
+ENDPOINTS = {
+    name: api.Entry(name, zone, "plain", 1, State.IN, 3.0)
+    for name, zone in [("a", "north"), ("b", "south"), ("c", "north")]
+}
 
 
 class Watched(Relay):
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,6 +1,7 @@
 """Imports run one way: a package knows only what lies below it."""
 
 import ast
+import graphlib
 from pathlib import Path
 
 ROOT = Path(__file__).parents[1]
@@ -36,6 +37,14 @@
     assert against == []
 
 
+def test_no_module_needs_itself() -> None:
+    graph = {}
+    for path in [*ROOT.glob("amberlug/**/*.py"), *ROOT.glob("stoatusher/**/*.py")]:
+        if path.name != "__init__.py":  # what a package offers is gathered there
+            graph[".".join(path.relative_to(ROOT).with_suffix("").parts)] = imported(path)
+    assert list(graphlib.TopologicalSorter(graph).static_order())  # raises where there is a circle
+
+
 def test_the_core_knows_no_sockets() -> None:
     for path in [*ROOT.glob("amberlug/core/*.py"), *ROOT.glob("stoatusher/*.py")]:
         names = {
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -34,8 +34,9 @@
     settings,
 )
 from amberlug.library.claims import CLAIMS
+from amberlug.standin.wire import PATIENCE, StandIn
 from tests.hosts import ONE, SETTINGS, Partner, forever, host, lines, message, relay_on
-from tests.rig import PATIENCE, StandIn, member, run
+from tests.rig import member, run
 
 DELIVERED, HANDED_BACK, GIVEN_UP = Outcome.DELIVERED, Outcome.HANDED_BACK, Outcome.GIVEN_UP
 
@@ -329,9 +330,7 @@
             again = relay.find("m1")
             assert again is not None
             end = await again.end()
-            assert (end.outcome, second.names) == (
-                (DELIVERED, ["m1"]) if kind == "safe" else (GIVEN_UP, [])
-            )
+            assert (end.outcome, second.names) == ((DELIVERED, ["m1"]) if kind == "safe" else (GIVEN_UP, []))
 
     run(scenario())
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -3,7 +3,8 @@
 import signal
 from pathlib import Path
 
-from tests.rig import OK, Platform, StandIn, member, news, run, world
+from amberlug.standin.wire import OK, Platform, StandIn
+from tests.rig import member, news, run, world
 
 
 def test_discovery_moves_with_its_watch_and_a_notice_that_was_in_flight(tmp_path: Path) -> None:
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -10,8 +10,9 @@
 
 from amberlug.core.journal import Journal
 from amberlug.core.messages import Attempt, Ending, Message
+from amberlug.standin.wire import OK, StandIn
 from stoatusher.interface import Result
-from tests.rig import OK, StandIn, run, world
+from tests.rig import run, world
 
 LONG = 10**15
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -12,9 +12,10 @@
 from amberlug.core.listing import read_news
 from amberlug.http.server import Server
 from amberlug.platform.turns import Turns
+from amberlug.standin.wire import StandIn
 from stoatusher.settings import read_settings
 from tests.conftest import setup
-from tests.rig import StandIn, hand_in, member, news, node_in
+from tests.rig import hand_in, member, news, node_in
 
 HELD_UP = 0.4
 
