--- a/amberlug/__main__.py
+++ b/amberlug/__main__.py
@@ -1,7 +1,5 @@
 """`python -m amberlug`: the command line."""
 
-import sys
+from amberlug.cli.main import run
 
-from amberlug.cli.main import main
-
-sys.exit(main())
+run()
--- a/amberlug/cli/main.py
+++ b/amberlug/cli/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import sys
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -34,3 +35,8 @@
     from amberlug.platform import daemon
 
     return daemon.main()
+
+
+def run() -> None:
+    """Run it as an installed program."""
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run by hand; see README.md here."""
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -809,3 +809,27 @@
             assert (await (await relay.hand_in(message("m1"))).end()).outcome is DELIVERED
 
     run(scenario())
+
+
+def test_a_host_task_that_is_cancelled_closes_and_leaves_the_message_its_end(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        partner = Partner(forever)
+
+        async def work() -> None:
+            async with relay_on(tmp_path, partner) as relay:
+                await (await relay.hand_in(message("m1", "unsafe"))).end()
+
+        task = asyncio.create_task(work())
+        await partner.called(1)
+        task.cancel()
+        await asyncio.sleep(0)
+        task.cancel()  # again, while it closes
+        await asyncio.wait({task})
+        assert task.cancelled()
+        async with relay_on(tmp_path, second := Partner()) as relay:
+            taken = relay.find("m1")
+            assert taken is not None
+            assert (await taken.end()).outcome is GIVEN_UP
+            assert second.calls == []
+
+    run(scenario())
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -9,7 +9,7 @@
 import pytest
 
 from amberlug.core.journal import Journal
-from amberlug.core.messages import Attempt, Ending, Message
+from amberlug.core.messages import Attempt, End, Ending, Message, Outcome
 from amberlug.standin.wire import OK, StandIn
 from stoatusher.interface import Result
 from tests.rig import run, world
@@ -220,3 +220,17 @@
             assert used(tmp_path / "state") < 80_000
 
     run(scenario())
+
+
+def test_a_folder_of_the_last_release_is_read(tmp_path: Path) -> None:
+    """The file was written by 0.1.0."""
+    old = Path(__file__).parent / "data" / "journal-0.1.0.log"
+    (tmp_path / "journal.log").write_bytes(old.read_bytes())
+    journal = opened(tmp_path)
+    held = journal.held
+    assert list(held) == ["never-sent", "may-have-run", "refused-before", "given-up"]
+    assert held["never-sent"].message.body == b"hello"
+    results = {name: [it.result for it in held[name].tried.values()] for name in held}
+    assert (results["may-have-run"], results["refused-before"]) == ([None], [Result.REFUSED])
+    assert held["given-up"].end == End("given-up", Outcome.GIVEN_UP)
+    assert journal.knows("delivered")
