Wake for no timer whose message has ended; measure what a message costs

Need: each message's own timer woke the loop and made a round of its own at its deadline, long after most messages had been delivered; in the library a waiter in the relay's own loop was woken through the loop's self-pipe.

Change: the node keeps its timers in a heap and asks the module whether the first still has something to tell; one loop timer stands for all. What a next life should know is recorded a second after the last round at the latest, no longer only by the next one. The library makes a round with the loop's next turn. benchmarks/cost.py compares within rounds.

--- a/amberlug/core/node.py
+++ b/amberlug/core/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from itertools import groupby
@@ -43,6 +44,10 @@
         self._owed: dict[str, int] = {}  # until when the name of each that ended counts as taken
         self._events: list[api.Event] = []
         self._round_at: Handle | None = None
+        self._timers: list[tuple[int, int]] = []  # a heap: when each is due, and its label
+        self._timer: Handle | None = None
+        self._timer_us = 0  # when that one is due
+        self._remember_at: Handle | None = None
         self._last_round_us = self._remembered_us = self._refs = 0
         self.ready = self.closing = self._stopped = False
 
@@ -99,8 +104,9 @@
         if self._round_at is not None:
             self._round()
         self._stopped = True
-        if self._round_at is not None:
-            self._round_at.cancel()
+        for handle in (self._round_at, self._timer, self._remember_at):
+            if handle is not None:
+                handle.cancel()
 
     def _resume(self, held: Held, now_ms: int) -> None:
         message = held.message
@@ -231,9 +237,19 @@
             if isinstance(event, api.Taken) and event.ref in self._messages:
                 self._settle(self._messages[event.ref], ends.get(event.ref))
         self._carry_out(actions)
+        self._wind()
         if self._last_round_us - self._remembered_us > SECOND:
-            self._remembered_us = self._last_round_us
-            self._journal.remember(Memory(self._clock.wall_ms(), self._last_round_us, self._sender.seen()))
+            self._remember()
+        elif self._remember_at is None and not self._stopped:
+            self._remember_at = self._clock.at(self._remembered_us + SECOND, self._remember)
+
+    def _remember(self) -> None:
+        """Record what the next life should know, once a second while there are rounds."""
+        if self._remember_at is not None:
+            self._remember_at.cancel()
+            self._remember_at = None
+        self._remembered_us = now = self.now_us()
+        self._journal.remember(Memory(self._clock.wall_ms(), now, self._sender.seen()))
 
     def _settle(self, message: Message, end: api.Refuse | api.Fail | None) -> None:
         """Tell whoever handed it in: taken on once the journal has it, or refused."""
@@ -307,7 +323,28 @@
         return cleared
 
     def _set_timer(self, label: int, after_us: int) -> None:
-        self._clock.at(self._last_round_us + after_us, self._tell, api.Due(label))
+        heapq.heappush(self._timers, (self._last_round_us + after_us, label))
+
+    def _wind(self) -> None:
+        """Have the loop wake for the first timer that has something to tell."""
+        # Guards against a wake-up and a round for each message that has ended before its time, as most do.
+        while self._timers and self._sender.stale(self._timers[0][1]):
+            heapq.heappop(self._timers)
+        due_us = self._timers[0][0] if self._timers else 0
+        if self._timer is not None and due_us != self._timer_us:
+            self._timer.cancel()
+            self._timer = None
+        if self._timer is None and due_us:
+            self._timer, self._timer_us = self._clock.at(due_us, self._due), due_us
+
+    def _due(self) -> None:
+        self._timer = None
+        now = self.now_us()
+        while self._timers and self._timers[0][0] <= now:
+            _, label = heapq.heappop(self._timers)
+            if not self._sender.stale(label):
+                self._tell(api.Due(label))
+        self._wind()
 
     def _probe(self, endpoint: str) -> None:
         start = self.now_us()
--- a/amberlug/library/settings.py
+++ b/amberlug/library/settings.py
@@ -92,5 +92,5 @@
         overload_factor=2.5,
         overload_us=2 * SECOND,
         key_quiet_us=0,
-        granularity_us=1000,
+        granularity_us=0,  # a round comes with the loop's next turn: each wait for one is a wake-up
     )
--- a/amberlug/library/taken.py
+++ b/amberlug/library/taken.py
@@ -76,9 +76,15 @@
         self._wake()
 
     def _wake(self) -> None:
+        try:
+            here: asyncio.AbstractEventLoop | None = asyncio.get_running_loop()
+        except RuntimeError:
+            here = None
         for waiter in list(self._waiters):
             loop = waiter.get_loop()
-            if not loop.is_closed():
+            if loop is here:
+                _settle(waiter)
+            elif not loop.is_closed():
                 loop.call_soon_threadsafe(_settle, waiter)
 
 
--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -136,7 +136,7 @@
 
 
 async def library(endpoint: int, rate: float, seconds: float) -> float:
-    """Measure the library in a host that hands in by itself."""
+    """Measure the library in a host that hands in by itself; endpoint 0 stands for a transport of its own."""
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "benchmarks.library_host", str(endpoint), str(rate), str(seconds), cwd=ROOT,
         stdout=asyncio.subprocess.PIPE,
@@ -156,13 +156,16 @@
             costs.setdefault("before", []).append(await daemon(before, endpoint, rate, seconds))
         costs.setdefault("daemon", []).append(await daemon(ROOT, endpoint, rate, seconds))
         costs.setdefault("library", []).append(await library(endpoint, rate, seconds))
-    bare, own = statistics.median(costs["forwarder"]), statistics.median(costs["daemon"])
+        costs.setdefault("no HTTP", []).append(await library(0, rate, seconds))
     for name, values in costs.items():
-        middle = statistics.median(values)
         spread = f"{min(values):.0f} to {max(values):.0f}"
+        ratios = [
+            statistics.median(value / other for value, other in zip(values, costs[than], strict=True))
+            for than in ("forwarder", "daemon")
+        ]
         print(
-            f"{name:10} {middle:6.0f} us a message ({spread}), "
-            f"{middle / bare:.2f} x forwarder, {middle / own:.2f} x daemon"
+            f"{name:10} {statistics.median(values):6.0f} us a message ({spread}), "
+            f"{ratios[0]:.2f} x forwarder, {ratios[1]:.2f} x daemon"
         )
 
 
--- a/benchmarks/library_host.py
+++ b/benchmarks/library_host.py
@@ -3,29 +3,38 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import sys
 import tempfile
 import time
 
-from amberlug.library import Endpoint, Message, Relay, StaticEndpoints
+from amberlug import library
+from amberlug.library import Call, Effect, Endpoint, Message, Relay, StaticEndpoints
 from amberlug.library.taken import Taken
-from amberlug.standin.deployment import settings
-from stoatusher.settings import read_settings
 
 
 async def main(endpoint: int, rate: float, seconds: float) -> None:
     """Hand in, wait for all ends, and print what a message cost."""
-    where = StaticEndpoints(Endpoint("e", 1, f"127.0.0.1:{endpoint}"))
+    transport = None if endpoint else _deliver
+    where = StaticEndpoints(Endpoint("e", 1, f"127.0.0.1:{endpoint or 1}"))
+    settings = library.settings([library.message_class("result", Effect.SAFE, deadline=4.0, wanted=1.0)])
     with tempfile.TemporaryDirectory() as folder:
-        async with Relay(read_settings(settings()), folder, where, seed=1) as relay:
+        async with Relay(settings, folder, where, transport=transport, seed=1) as relay:
             await _load(relay, rate, 1.0)  # connections come up, caches warm
+            gc.collect()  # as the daemon does
+            gc.freeze()
+            gc.set_threshold(10_000)
             begun = time.process_time()
             delivered = await _load(relay, rate, seconds)
             used = time.process_time() - begun
     print(json.dumps({"delivered": delivered, "cpu_us": used / max(1, delivered) * 1e6}))
 
 
+async def _deliver(call: Call) -> None:
+    """Deliver at once: what is left is what the relay itself costs."""
+
+
 async def _load(relay: Relay, rate: float, seconds: float) -> int:
     loop, count = asyncio.get_running_loop(), int(rate * seconds)
     started, taken = loop.time(), list[Taken]()
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -63,6 +63,14 @@
             if may_refuse(message) and kept < KEEP * message.worth_at(self.now, halving):
                 self.finish(message)
 
+    def stale(self, label: int) -> bool:
+        """Whether a timer has nothing left to tell, since its message has ended; it is forgotten then."""
+        target = self.timers.get(label)
+        if isinstance(target, Message) and target.ref not in self.messages:
+            del self.timers[label]
+            return True
+        return False
+
     def serves(self, number: int) -> bool:
         """Whether a list has named a destination; what no list has named is not taken on."""
         return number in self.destinations
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -833,3 +833,17 @@
             assert second.calls == []
 
     run(scenario())
+
+
+def test_a_message_that_has_ended_wakes_nobody_when_its_time_comes(tmp_path: Path) -> None:
+    """Guards against a wake-up and a round for each message, seconds after it was delivered."""
+
+    async def scenario() -> None:
+        async with relay_on(tmp_path, Partner()) as relay:
+            for count in range(5):
+                await (await relay.hand_in(message(f"m{count}"))).end()
+            assert relay._node._timers == []
+            held = await relay.hand_in(message("m9", deadline=0.3))
+            assert (await held.end()).outcome is DELIVERED
+
+    run(scenario())
