Let what was told outlast a power cut: group and interval syncs, off the loop

Need: write() alone does not outlast a power cut, and a sync for each message would be too dear.

Change: durability is a setting: process (the default, as before), interval (a sync a second, nobody waits) and group (a 202, an attempt's first byte and an end wait for a sync in a thread, which many share). Segments say whether they were synced, and marks how far: what lies beyond the last mark and can't be read is a tail that was never promised, what lies before it is damage. A failed sync is not tried again on the same bytes: nothing is taken on, what was not yet synced is written anew to a new segment, and only that one's sync lets anybody go on.

Result: a power cut at each operation under three models (writes kept, unsynced lost, unsynced torn and out of order) takes back nothing that was told; failed syncs neither. The real program, killed six times while it compacts, in both modes: each unsafe message taken on ended, none was sent twice; under ulimit -f and in 0.3 MB it goes on.

--- a/amberlug/core/journal/disk.py
+++ b/amberlug/core/journal/disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
 
@@ -28,6 +29,9 @@
     def remove(self, name: str) -> None:
         """Take a file away."""
 
+    def syncs(self, names: list[str], folder: bool) -> Callable[[], None]:
+        """A job for another thread: make files outlast a power cut, and new names of the folder."""
+
     def close(self) -> None:
         """Let go of all files."""
 
@@ -60,6 +64,22 @@
             os.close(file)
         os.unlink(self._folder / name)
 
+    def syncs(self, names: list[str], folder: bool) -> Callable[[], None]:
+        # Copies, so that a file may be closed here meanwhile.
+        files = [os.dup(self._file(name)) for name in names]
+        if folder:
+            files.append(os.open(self._folder, os.O_RDONLY))
+
+        def job() -> None:
+            try:
+                for file in files:
+                    os.fsync(file)
+            finally:
+                for file in files:
+                    os.close(file)
+
+        return job
+
     def close(self) -> None:
         for file in self._open.values():
             os.close(file)
--- a/amberlug/core/journal/log.py
+++ b/amberlug/core/journal/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import json
 import secrets
@@ -20,6 +21,7 @@
     OUTCOME,
     OUTCOMES,
     OWED,
+    SYNCED,
     TAKE,
     Found,
     Segment,
@@ -27,6 +29,7 @@
     read_folder,
 )
 from amberlug.core.journal.room import SLICE_US, Room, Use, blocks
+from amberlug.core.journal.syncing import Entry, Syncer, Syncing
 from amberlug.core.log import log
 from amberlug.core.messages import Attempt, End, Ending, Message
 from amberlug.core.ports import Held, Memory
@@ -45,7 +48,22 @@
     the same: nothing is taken on until it can.
     """
 
-    def __init__(self, disk: Disk, room_bytes: int, now_ms: int, clock_us: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        disk: Disk,
+        room_bytes: int,
+        now_ms: int,
+        clock_us: Callable[[], int],
+        syncer: Syncer | None = None,
+        interval_us: int | None = None,
+    ) -> None:
+        self._syncer = syncer
+        self._syncing = (
+            Syncing(syncer, disk, clock_us, interval_us, self._write_anew, self._mark)
+            if syncer is not None
+            else None
+        )
+        self._emptied = False  # whether the oldest segment only waits for a sync
         self._disk, self._room, self._clock_us = disk, Room(room_bytes), clock_us
         found = read_folder(disk)
         old = legacy.read(disk)
@@ -59,6 +77,10 @@
         self._adopt(found, now_ms)
         if old is not None:
             self._carry_over(old, now_ms)
+        if self._syncing is not None:  # what an earlier life left may not be synced yet
+            for segment in self._segments:
+                self._syncing.wrote(segment.name, (segment.number, segment.size), None)
+            self._syncing.safe = self._syncing.end
 
     def _adopt(self, found: Found, now_ms: int) -> None:
         """Go on with what was found, on a new segment."""
@@ -119,17 +141,32 @@
 
     def close(self) -> None:
         """Let go of the files; nothing is written from now on."""
+        if self._syncer is not None:
+            self._syncer.close()
         self._disk.close()
 
     # What the core asks and tells.
 
+    @property
+    def waits(self) -> bool:
+        """Whether what is recorded outlasts what it should only later."""
+        return self._syncing is not None and self._syncing.waits
+
+    def after(self, callback: Callable[[], object]) -> None:
+        """Call back once all that was recorded so far outlasts what it should; at once where it does."""
+        if self._syncing is not None and self._syncing.waits:
+            self._syncing.after(callback)
+        else:
+            callback()
+
     def knows(self, name: str) -> bool:
         """Whether a message with that name was taken on, and its time may not be up."""
         return name in self._live or self._ended.get(name, 0) > self._clock_us()
 
     def fits(self, size: int) -> bool:
         """Whether a message with a body of that size can be held, and all that is to be written of it."""
-        return not self._late and self._room.takes(self._use, size)
+        failed = self._syncing is not None and self._syncing.failed
+        return not (self._late or failed) and self._room.takes(self._use, size)
 
     def retry_us(self, size: int) -> int:
         """When one that does not fit may come again."""
@@ -240,13 +277,27 @@
             segment = self._roll()
         if not self._room.fits(self._use, size):
             raise OSError(errno.ENOSPC, "no room in the journal")
-        place = segment.number, segment.size
-        data = it.encode(kind, name.encode("latin-1"), rest, self._folder, *place)
-        self._put(segment, data)
+        try:
+            place = self._place(segment, kind, name, rest)
+        except OSError as error:
+            # Guards against a limit on the size of a file below that of a segment: the next one has room.
+            if error.errno != errno.EFBIG or segment.size == it.HEAD_SIZE:
+                raise
+            self._active = None
+            segment = self._roll()
+            place = self._place(segment, kind, name, rest)
         if kind == it.MEMORY:
             self._memory_at = place
+        if self._syncing is not None:
+            self._syncing.wrote(segment.name, (segment.number, segment.size), (kind, name, rest))
         return size
 
+    def _place(self, segment: Segment, kind: bytes, name: str, rest: bytes) -> tuple[int, int]:
+        """Write a record at a segment's end; where that was."""
+        place = segment.number, segment.size
+        self._put(segment, it.encode(kind, name.encode("latin-1"), rest, self._folder, *place))
+        return place
+
     def _put(self, segment: Segment, data: bytes) -> None:
         """Write at a segment's end. Half a record is cut off again, or its segment is left behind."""
         written = 0
@@ -278,9 +329,10 @@
         segment = Segment(number, it.file_name(number), 0)
         first = self._segments[0].number if self._segments else number
         tail = self._segments[-1] if self._segments else Segment(0, "", 0)
+        head = it.Head(self._folder, number, first, tail.number, tail.size, self._syncing is not None)
         self._disk.create(segment.name)
         try:
-            self._put(segment, it.Head(self._folder, number, first, tail.number, tail.size).encode())
+            self._put(segment, head.encode())
         except OSError:
             self._strays([segment.name])
             raise
@@ -288,24 +340,68 @@
         self._segments.append(segment)
         self._use.files += 1
         self._active = segment
+        if self._syncing is not None:
+            self._syncing.wrote(segment.name, (number, segment.size), None)
         return segment
 
+    def _write_anew(self, entries: list[Entry]) -> None:
+        """Write what a failed sync may have dropped to a new segment, in place of what can't be trusted."""
+        doubtful = self._distrust()
+        self._active = None
+        self._roll()
+        for kind, name, rest in entries:
+            if kind == it.MEMORY or self._says(kind, name):
+                self._append(kind, name, rest)
+        self._strays([segment.name for segment in doubtful])
+
+    def _distrust(self) -> list[Segment]:
+        """Take all that was not synced out of the log; segments of which nothing was."""
+        assert self._syncing is not None
+        number, offset = self._syncing.safe
+        doubtful = []
+        while self._segments and self._segments[-1].number > number:
+            segment = self._segments.pop()
+            self._use.used -= blocks(segment.size)
+            self._use.files -= 1
+            doubtful.append(segment)
+        if not self._segments:
+            self._sweep, self._emptied = it.HEAD_SIZE, False
+        elif self._segments[-1].number == number and self._segments[-1].size > offset:
+            segment = self._segments[-1]
+            self._use.used -= blocks(segment.size) - blocks(offset)
+            segment.size = offset  # the next one's head tells that no more of it holds
+            with contextlib.suppress(OSError):
+                self._disk.truncate(segment.name, offset)
+        return doubtful
+
+    def _mark(self, end: tuple[int, int]) -> None:
+        """Note for the next life how far all is synced; the note itself may be lost."""
+        with contextlib.suppress(OSError):
+            self._append(it.SYNCED, "", SYNCED.pack(*end))
+
     # Compaction.
 
-    def work(self) -> bool:
-        """Do one slice of what is due; whether more is. It takes about a millisecond at most."""
-        if not self._late and not self._room.compacts(self._use):
-            return False
+    def work(self) -> int | None:
+        """Do one slice of what is due: in how many microseconds to be called again, if at all.
+
+        It takes about a millisecond at most.
+        """
+        again_us = self._syncing.work() if self._syncing is not None else None
+        if not self._late and not self._compacting():
+            return again_us
         until_us = self._clock_us() + SLICE_US
         try:
             self._catch_up()
-            while self._room.compacts(self._use) and len(self._segments) > 1:
+            while self._compacting():
                 self._empty_some(until_us)
                 if self._clock_us() >= until_us:
-                    return True
+                    return SLICE_US
         except OSError:
-            return False  # tried again after the next round; whoever takes on is told
-        return False
+            return again_us  # tried again after the next round; whoever takes on is told
+        return again_us
+
+    def _compacting(self) -> bool:
+        return not self._emptied and len(self._segments) > 1 and self._room.compacts(self._use)
 
     def _empty_some(self, until_us: int) -> None:
         """Copy what is live of the oldest segment forward, as far as the time goes."""
@@ -338,19 +434,46 @@
 
     def _wanted(self, record: it.Record, segment: int) -> bool:
         """Whether a record still says something that no newer one does."""
-        kind, name = record.kind, record.name
+        if record.kind == it.MEMORY:
+            return self._memory_at == (segment, record.offset)
+        return self._says(record.kind, record.name)
+
+    def _says(self, kind: bytes, name: str) -> bool:
+        """Whether records of that kind still matter for that message."""
         if kind == it.ENDED:
             return self._ended.get(name, 0) > self._clock_us()
-        if kind == it.MEMORY:
-            return self._memory_at == (segment, record.offset)
         if kind == it.OWED:
             return name in self._owed
-        return kind != it.DROPPED and name in self._live and name not in self._owed
+        of_message = kind in (it.TAKEN, it.ATTEMPT, it.OUTCOME)
+        return of_message and name in self._live and name not in self._owed
 
     def _free(self, oldest: Segment) -> None:
-        """Take an emptied segment away. A new one says that it is not needed before it goes."""
-        self._append(it.DROPPED, "", DROPPED.pack(oldest.number))
-        self._disk.remove(oldest.name)
+        """Take an emptied segment away, once its copies and the word that it is not needed are safe."""
+        self._emptied = True
+        if self._syncing is None:
+            self._drop(oldest)
+            self._remove(oldest)
+        else:
+            self._syncing.after(lambda: self._drop(oldest))
+
+    def _drop(self, oldest: Segment) -> None:
+        if not self._segments or self._segments[0] is not oldest:
+            return  # it went with what a failed sync made doubtful
+        try:
+            self._append(it.DROPPED, "", DROPPED.pack(oldest.number))
+        except OSError:
+            self._emptied = False  # emptied again, at no more cost than its reading
+            if self._syncing is None:
+                raise
+            return
+        if self._syncing is not None:
+            self._syncing.after(lambda: self._remove(oldest))
+
+    def _remove(self, oldest: Segment) -> None:
+        if not self._segments or self._segments[0] is not oldest:
+            return
+        self._emptied = False
+        self._strays([oldest.name])
         self._segments.popleft()
         self._sweep = it.HEAD_SIZE
         self._use.used -= blocks(oldest.size)
--- a/amberlug/core/journal/records.py
+++ b/amberlug/core/journal/records.py
@@ -26,7 +26,8 @@
 MARK = b"\xa7\x1f"
 _NAME = re.compile(r"segment-([0-9]{12})\.log")
 
-TAKEN, ATTEMPT, OUTCOME, OWED, ENDED, MEMORY, DROPPED = b"T", b"A", b"O", b"N", b"E", b"S", b"D"
+TAKEN, ATTEMPT, OUTCOME, OWED, ENDED, MEMORY = b"T", b"A", b"O", b"N", b"E", b"S"
+DROPPED, SYNCED = b"D", b"Y"  # segments up to that number are not needed; all is synced up to that place
 
 
 class NewerVersionError(ValueError):
@@ -42,10 +43,13 @@
     first: int  # the oldest segment that was needed when this one was made
     previous: int  # the number of the one before it; 0 for the first of all
     before: int  # how many bytes of that one hold
+    synced: bool = False  # whether its writer made it outlast a power cut, and marked how far
 
     def encode(self) -> bytes:
         """The head as it is written."""
-        body = _HEAD.pack(MAGIC, VERSION, 0, self.folder, self.number, self.first, self.previous, self.before)
+        body = _HEAD.pack(
+            MAGIC, VERSION, self.synced, self.folder, self.number, self.first, self.previous, self.before
+        )
         return body + _CHECK.pack(zlib.crc32(body))
 
 
@@ -53,12 +57,12 @@
     """Read a head; None where it is damaged, `NewerVersionError` where a newer release wrote it."""
     if len(data) < HEAD_SIZE:
         return None
-    magic, version, _, folder, number, first, previous, before = _HEAD.unpack_from(data)
+    magic, version, flags, folder, number, first, previous, before = _HEAD.unpack_from(data)
     if magic == MAGIC and version > VERSION:
         raise NewerVersionError(f"the journal was written by a newer release (version {version})")
     if magic != MAGIC or _CHECK.unpack_from(data, _HEAD.size)[0] != zlib.crc32(data[: _HEAD.size]):
         return None
-    return Head(folder, number, first, previous, before)
+    return Head(folder, number, first, previous, before, bool(flags & 1))
 
 
 def file_name(number: int) -> str:
--- a/amberlug/core/journal/recovery.py
+++ b/amberlug/core/journal/recovery.py
@@ -19,6 +19,7 @@
 OWED = struct.Struct(">BIQ")
 ENDED = struct.Struct(">QQ")
 DROPPED = struct.Struct(">Q")
+SYNCED = struct.Struct(">QQ")
 OUTCOMES = (Outcome.DELIVERED, Outcome.HANDED_BACK, Outcome.GIVEN_UP)  # by their number in a record
 UNKNOWN = ""  # the endpoint of an attempt that may have been made and is not known
 
@@ -73,6 +74,7 @@
     memory: Memory = field(default_factory=lambda: Memory(0, 0))
     memory_at: tuple[int, int] = (0, 0)
     damage: list[Damage] = field(default_factory=list)
+    unread: list[tuple[int, str, int]] = field(default_factory=list)  # number, name and size: no head
     left: int = 0  # bytes in files that are of no use, and are left for an operator to look at
     last: int = 0  # the highest number of a segment that was ever there
     order: int = 0
@@ -90,17 +92,48 @@
         head, name, size = heads[number]
         before = found.segments[-1].number if found.segments else first - 1
         lost = head.previous > before
+        if lost and not _synced_beyond(disk, heads, head, (before + 1, 0)):
+            found.stray += [heads[later][1] for later in numbers[at:]]
+            break
         if lost:
             what = f"missing, with what may have stood up to segment {head.previous}"
             _broken(found, Damage(before + 1, 0, 0, what))
         after = heads[numbers[at + 1]][0] if at + 1 < len(numbers) else None
         sealed = after.before if after is not None and after.previous == number else None
-        _read_segment(disk, found, head, name, size, sealed)
+        if not _read_segment(disk, found, heads, head, name, size, sealed):
+            found.stray += [heads[later][1] for later in numbers[at + 1 :]]
+            break
         if lost:  # copies in it may be of messages whose attempts stood in what is missing
             found.doubt = max(found.doubt, found.order)
+    _unread(found, any(head.synced for head, *_ in heads.values()))
     return found
 
 
+def _unread(found: Found, synced: bool) -> None:
+    """Tell segments without a head; a last one that no sync had reached was never promised to anybody."""
+    newest = found.segments[-1].number if found.segments else 0
+    for number, name, size in found.unread:
+        if synced and number > newest:
+            found.stray.append(name)
+        else:
+            found.damage.append(Damage(number, 0, size, "unreadable: its head is damaged"))
+            found.left += size
+
+
+def _synced_beyond(disk: Disk, heads: Heads, head: it.Head, place: tuple[int, int]) -> bool:
+    """Whether what can't be read there had been synced: it is damage, and no tail that a power cut took."""
+    if not head.synced:
+        return True  # only the end of a process was to be outlasted, and that takes nothing back
+    for number, (other, name, size) in heads.items():
+        if number >= place[0]:
+            for record in it.records(disk.read(name, 0, size), other.folder, number, size):
+                if isinstance(record, it.Hole) or record.kind != it.SYNCED:
+                    continue
+                if SYNCED.unpack(record.rest) > place:
+                    return True
+    return False
+
+
 Heads = dict[int, tuple[it.Head, str, int]]
 
 
@@ -118,8 +151,7 @@
         if head is None and size < it.HEAD_SIZE:
             found.stray.append(name)  # the process ended while it was made: nothing was written to it
         elif head is None:
-            found.damage.append(Damage(number, 0, size, "unreadable: its head is damaged"))
-            found.left += size
+            found.unread.append((number, name, size))
         elif head.number != number or head.folder != found.folder:
             found.damage.append(Damage(number, 0, size, f"a copy of segment {head.number}: passed over"))
             found.left += size
@@ -145,8 +177,13 @@
     found.doubt = found.order
 
 
-def _read_segment(disk: Disk, found: Found, head: it.Head, name: str, size: int, sealed: int | None) -> None:
-    """Read one segment up to where it was sealed; the last one may end in a record that was torn."""
+def _read_segment(
+    disk: Disk, found: Found, heads: Heads, head: it.Head, name: str, size: int, sealed: int | None
+) -> bool:
+    """Read one segment up to where it was sealed; the last one may end in a record that was torn.
+
+    Whether the log goes on behind it: it ends where a power cut took what had not been synced.
+    """
     data = disk.read(name, 0, size)
     end = min(size, sealed) if sealed is not None else size
     holds = it.HEAD_SIZE
@@ -154,6 +191,9 @@
         if isinstance(record, it.Hole):
             if sealed is None and it.is_torn(data, record):
                 break  # by the end of the process
+            if not _synced_beyond(disk, heads, head, (head.number, record.offset)):
+                found.segments.append(Segment(head.number, name, holds))
+                return False
             _broken(found, Damage(head.number, record.offset, record.size, "unreadable: skipped"))
             continue
         holds = record.offset + record.size
@@ -162,8 +202,12 @@
         except (ValueError, KeyError, TypeError, IndexError, struct.error) as error:
             _broken(found, Damage(head.number, record.offset, record.size, f"not understood: {error!r}"))
     if sealed is not None and size < sealed:
+        if not _synced_beyond(disk, heads, head, (head.number, size)):
+            found.segments.append(Segment(head.number, name, holds))
+            return False
         _broken(found, Damage(head.number, size, sealed - size, "cut off"))
     found.segments.append(Segment(head.number, name, end if sealed is not None else holds))
+    return True
 
 
 def _apply(found: Found, record: it.Record, segment: int) -> None:
@@ -173,7 +217,7 @@
         found.ended[name] = ENDED.unpack(rest)
     elif kind == it.MEMORY:
         found.memory, found.memory_at = _memory(rest), (segment, record.offset)
-    elif kind == it.DROPPED:
+    elif kind in (it.DROPPED, it.SYNCED):
         pass  # seen before
     elif name not in found.ended:
         raw = found.messages.setdefault(name, Raw())
--- /dev/null
+++ b/amberlug/core/journal/syncing.py
@@ -0,0 +1,136 @@
+"""When what was written is made to outlast a power cut, and what a failed sync means. No I/O.
+
+A sync that failed may have dropped what it should have written, and a second one of the same file may then
+succeed for nothing. So it is never tried again on the same bytes: what was not yet synced is written anew, to
+a new segment.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from amberlug.core.journal.disk import Disk
+from amberlug.core.journal.records import SYNCED
+from amberlug.core.log import log
+
+RETRY_US = 1_000_000  # from a failed sync until what it may have lost is written anew
+
+Entry = tuple[bytes, str, bytes]  # kind, name and rest of a record
+Callback = Callable[[], object]
+
+
+class Syncer(Protocol):
+    """Runs one blocking job at a time off the loop."""
+
+    def start(self, job: Callable[[], None], done: Callable[[OSError | None], None]) -> None:
+        """Run a job, then tell in the loop how it ended."""
+
+    def close(self) -> None:
+        """Wait for the job that runs."""
+
+
+class Syncing:
+    """Gathers what waits into one sync at a time.
+
+    With `interval_us` a sync follows each write within that time, and nobody waits; without it, whoever must
+    know waits for the next one. `rewrite` writes records to a new segment; `marked` notes how far all is
+    synced.
+    """
+
+    def __init__(
+        self,
+        syncer: Syncer,
+        disk: Disk,
+        clock_us: Callable[[], int],
+        interval_us: int | None,
+        rewrite: Callable[[list[Entry]], None],
+        marked: Callable[[tuple[int, int]], None],
+    ) -> None:
+        self._syncer, self._disk, self._clock_us, self._interval_us = syncer, disk, clock_us, interval_us
+        self._rewrite, self._marked = rewrite, marked
+        self.waits = interval_us is None
+        self.failed = False
+        self.end = (0, 0)  # segment and offset behind the newest record
+        self.safe = (0, 0)  # and behind the newest one that is synced
+        self._dirty: dict[str, None] = {}
+        self._created = False
+        self._since: list[Entry] = []  # written since the last sync began
+        self._lost: list[Entry] = []  # that a failed one may have dropped
+        self._waiting: list[Callback] = []
+        self._under_way: tuple[list[Callback], list[Entry], tuple[int, int]] | None = None
+        self._due_us: int | None = None
+
+    def wrote(self, name: str, end: tuple[int, int], entry: Entry | None) -> None:
+        """Note a record, or the head of a new segment."""
+        self._dirty[name] = None
+        self._created |= entry is None
+        self.end = end
+        if entry is not None:
+            self._since.append(entry)
+        # Guards against syncs without end: each is followed by a mark, which may wait for the next one.
+        if self._due_us is None and (entry is None or entry[0] != SYNCED):
+            self._due_us = self._clock_us() + (self._interval_us or 0)
+
+    def after(self, callback: Callback) -> None:
+        """Call back once all that was written so far is synced."""
+        self._waiting.append(callback)
+        if self.waits:
+            self._start()
+
+    def work(self) -> int | None:
+        """Do what is due; in how many microseconds to be called again, if at all."""
+        now_us = self._clock_us()
+        if self._under_way is not None or self._due_us is None:
+            return None
+        if self._due_us > now_us:
+            return self._due_us - now_us
+        if self.failed and self._lost:
+            try:
+                lost, self._lost, self._since = self._lost + self._since, [], []
+                self._rewrite(lost)
+            except OSError as error:
+                self._since = []
+                self._fail(error, lost)
+                return RETRY_US
+        self._start(again=True)
+        return None
+
+    def _start(self, again: bool = False) -> None:
+        if self._under_way is not None or (self.failed and not again):
+            return
+        names, created = list(self._dirty), self._created
+        self._under_way = self._waiting, self._since, self.end
+        self._waiting, self._since, self._dirty, self._created, self._due_us = [], [], {}, False, None
+        try:
+            job = self._disk.syncs(names, created)
+        except OSError as error:
+            self._done(error)
+        else:
+            self._syncer.start(job, self._done)
+
+    def _done(self, error: OSError | None) -> None:
+        assert self._under_way is not None
+        waiting, entries, end = self._under_way
+        self._under_way = None
+        if error is not None:
+            self._waiting = waiting + self._waiting
+            lost, self._since = entries + self._since, []
+            self._fail(error, lost)
+            return
+        if self.failed:
+            self.failed = False
+            log("journal: syncs succeed again, on a new segment")
+        self.safe = end
+        self._marked(end)
+        for callback in waiting:
+            callback()
+        if self._waiting and self.waits:
+            self._start()
+
+    def _fail(self, error: OSError, lost: list[Entry]) -> None:
+        if not self.failed:
+            log(f"journal: a sync failed: {error}; nothing is taken on until all is written anew")
+        self.failed = True
+        self._lost = lost + self._lost
+        self._due_us = self._clock_us() + RETRY_US
--- /dev/null
+++ b/amberlug/core/journal/threads.py
@@ -0,0 +1,30 @@
+"""Runs syncs in a thread of their own, for a relay in an asyncio loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+
+class ThreadSyncer:
+    """One thread, started with the first sync."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._executor = ThreadPoolExecutor(1, "amberlug-sync")
+
+    def start(self, job: Callable[[], None], done: Callable[[OSError | None], None]) -> None:
+        future = self._loop.run_in_executor(self._executor, _tried, job)
+        future.add_done_callback(lambda it: None if it.cancelled() else done(it.result()))
+
+    def close(self) -> None:
+        self._executor.shutdown(wait=True)
+
+
+def _tried(job: Callable[[], None]) -> OSError | None:
+    try:
+        job()
+    except OSError as error:
+        return error
+    return None
--- a/amberlug/core/node.py
+++ b/amberlug/core/node.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
+from functools import partial
 from itertools import groupby
 
 from amberlug.core.clock import SECOND
@@ -16,7 +17,6 @@
 from stoatusher.lasting import LastingSender
 
 BUSY_RETRY_US = SECOND  # when a client may come again that this relay has no room for
-WORK_AGAIN_US = 1_000  # between two slices of the journal's work: as long as one may take
 CLOSED_RETRY_US = SECOND // 2  # the same from one that closes: other relays are there, and known by then
 
 
@@ -72,7 +72,7 @@
         for held in self._journal.held.values():
             if held.end is not None:
                 self._owed[held.message.name] = held.message.deadline_ms
-                self._ends.tell(held.end)
+                self._journal.after(partial(self._told, held.end))
             else:
                 self._resume(held, now_ms)
         self._journal.held.clear()
@@ -152,7 +152,7 @@
         if (known := self._names.get(message.name)) is not None and not known.taken:
             known.exchanges.append(exchange)
         elif known is not None or self._journal.knows(message.name):
-            exchange.settle(None)  # it was taken on before: never taken twice
+            self._journal.after(partial(exchange.settle, None))  # taken on before: never taken twice
         elif self.closing:
             exchange.settle(Refusal(Reason.CLOSING, CLOSED_RETRY_US))
         elif len(self._messages) >= self._settings.max_open:
@@ -254,8 +254,9 @@
         if self._work_at is not None:
             self._work_at.cancel()
             self._work_at = None
-        if self._journal.work() and not self._stopped:
-            self._work_at = self._clock.at(self.now_us() + WORK_AGAIN_US, self._work)
+        again_us = self._journal.work()
+        if again_us is not None and not self._stopped:
+            self._work_at = self._clock.at(self.now_us() + again_us, self._work)
 
     def _remember(self) -> None:
         """Record what the next life should know, once a second while there are rounds."""
@@ -282,8 +283,11 @@
             refusal = Refusal(Reason.REFUSED, advice_us or BUSY_RETRY_US)
         elif self._observer is not None:
             self._observer.taken(message)
-        for exchange in exchanges:
-            exchange.settle(refusal)
+        told = partial(_settled, exchanges, refusal)
+        if refusal is None:
+            self._journal.after(told)
+        else:
+            told()
 
     def _carry_out(self, actions: Sequence[api.Action]) -> None:
         sends: list[api.Send] = []
@@ -321,21 +325,37 @@
 
     def clear(self, attempts: Sequence[Attempt]) -> list[Attempt]:
         """Tell which attempts may still leave, and record them before their first byte does."""
-        now = self.now_us()
         cleared = []
-        for attempt in attempts:
-            over = self.closing or attempt.called_off or attempt.message.over or attempt.until_us <= now
-            if not over and self._sender.may_start(now, attempt.message.ref, attempt.endpoint):
-                try:
-                    self._journal.attempt(attempt, self._clock.wall_ms())
-                except OSError as error:  # an attempt that is not recorded could be made twice
-                    log(f"journal: {error}")
-                    continue
-                cleared.append(attempt)
-                if self._observer is not None:
-                    self._observer.attempt(attempt)
+        for attempt in self.still(attempts):
+            try:
+                self._journal.attempt(attempt, self._clock.wall_ms())
+            except OSError as error:  # an attempt that is not recorded could be made twice
+                log(f"journal: {error}")
+                continue
+            cleared.append(attempt)
+            if self._observer is not None:
+                self._observer.attempt(attempt)
         return cleared
 
+    def still(self, attempts: Sequence[Attempt]) -> list[Attempt]:
+        """Tell which attempts no drain, wait or end forbids by now."""
+        now = self.now_us()
+        return [
+            it
+            for it in attempts
+            if not (self.closing or it.called_off or it.message.over or it.until_us <= now)
+            and self._sender.may_start(now, it.message.ref, it.endpoint)
+        ]
+
+    @property
+    def waits(self) -> bool:
+        """Whether records outlast what they should only some time after they were made."""
+        return self._journal.waits
+
+    def after(self, callback: Callable[[], object]) -> None:
+        """Call back once all records so far do."""
+        self._journal.after(callback)
+
     def _set_timer(self, label: int, after_us: int) -> None:
         heapq.heappush(self._timers, (self._last_round_us + after_us, label))
 
@@ -390,9 +410,20 @@
             self._journal.end(message.name, message.deadline_ms, self._clock.wall_ms())
         if self._observer is not None:
             self._observer.ended(message, end)
+        self._journal.after(partial(self._told, end))
+
+    def _told(self, end: End) -> None:
+        """Tell an end that no crash takes back; with others of its round, unless it had to wait."""
         self._ends.tell(end)
+        if self._journal.waits:
+            self._ends.send()
 
     def _forget(self, message: Message) -> None:
         message.over = True
         self._messages.pop(message.ref, None)
         self._names.pop(message.name, None)
+
+
+def _settled(exchanges: Sequence[Exchange], refusal: Refusal | None) -> None:
+    for exchange in exchanges:
+        exchange.settle(refusal)
--- a/amberlug/core/ports.py
+++ b/amberlug/core/ports.py
@@ -41,6 +41,16 @@
     def clear(self, attempts: Sequence[Attempt]) -> list[Attempt]:
         """Which of these may still leave; they are recorded, and count as made from now on."""
 
+    @property
+    def waits(self) -> bool:
+        """Whether records outlast what they should only some time after they were made."""
+
+    def after(self, callback: Callable[[], object]) -> None:
+        """Call back once all records so far do."""
+
+    def still(self, attempts: Sequence[Attempt]) -> list[Attempt]:
+        """Which of these, that were recorded, may leave now."""
+
     def ended(self, attempt: Attempt, how: Ending) -> None:
         """Report an attempt's one end."""
 
@@ -179,8 +189,15 @@
     def remember(self, memory: Memory) -> None:
         """Record what the next life should know of the endpoints."""
 
-    def work(self) -> bool:
-        """Do a millisecond of what is due, such as compaction; whether more is."""
+    @property
+    def waits(self) -> bool:
+        """Whether what is recorded outlasts what it should only later."""
+
+    def after(self, callback: Callable[[], object]) -> None:
+        """Call back once all that was recorded so far does; at once where it does already."""
+
+    def work(self) -> int | None:
+        """Do a millisecond of what is due: in how many microseconds to be called again, if at all."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/amberlug/http/calls.py
+++ b/amberlug/http/calls.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import Any
 
+from amberlug.core.departure import departing
 from amberlug.core.messages import Attempt, Ending, Message
 from amberlug.core.ports import Address, Calls, Clock
 from amberlug.http.link import Link, LinkLostError, Reply, dial
@@ -193,7 +194,7 @@
 
     def bind(self, calls: Calls) -> None:
         """Learn who clears attempts and is told their ends."""
-        self._clear, self._ended = calls.clear, calls.ended
+        self._calls, self._ended = calls, calls.ended
 
     @property
     def busy(self) -> bool:
@@ -259,7 +260,7 @@
 
     async def _use(self, link: Link, attempts: list[Attempt]) -> None:
         # A dial takes time: what a drain, a wait or an end forbids by now is not sent.
-        cleared = self._clear(attempts)
+        cleared = await departing(self._calls, attempts)
         self._end_all([attempt for attempt in attempts if attempt not in cleared], Ending(Result.UNSENT))
         for attempt in cleared:
             attempt.reused = link.reused
--- a/amberlug/library/__init__.py
+++ b/amberlug/library/__init__.py
@@ -8,6 +8,7 @@
 one: delivered, handed back (trying again does no harm) or given up (no promise).
 """
 
+from amberlug.core.journal import Durability
 from amberlug.core.lock import FolderInUseError, ForkedError
 from amberlug.core.messages import End, Outcome, Reason
 from amberlug.library.blocking import BlockingRelay, BlockingTaken
@@ -33,6 +34,7 @@
     "Call",
     "Deliver",
     "Discovery",
+    "Durability",
     "Effect",
     "End",
     "Endpoint",
--- a/amberlug/library/relay.py
+++ b/amberlug/library/relay.py
@@ -14,7 +14,7 @@
 
 from amberlug.core import messages as core
 from amberlug.core.clock import LoopClock
-from amberlug.core.journal import FolderDisk, Journal
+from amberlug.core.journal import Durability, open_journal
 from amberlug.core.lock import FolderLock
 from amberlug.core.log import log
 from amberlug.core.messages import End, Outcome, Reason, Refusal
@@ -53,14 +53,14 @@
 
     def __init__(self, relay: Relay, claim: Claim | None, message: core.Message, tell: Tell) -> None:
         self._relay, self._claim, self._tell = relay, claim, tell
-        self._message = message
+        self.message = message
         self.settled = False
 
     def settle(self, refusal: Refusal | None) -> None:
         """Hear it from the core."""
         self.settled = True
         if self._claim is not None:
-            CLAIMS.settle(self._claim, None if refusal is not None else self._relay.opened(self._message))
+            CLAIMS.settle(self._claim, None if refusal is not None else self._relay.opened(self.message))
         self._tell(refusal)
 
     def withdraw(self) -> None:
@@ -76,7 +76,8 @@
     kinds and limits; `folder` outlasts the process; `endpoints` tell where messages go. Without a `transport`
     of the host's own it calls over HTTP/1.1, on `connections` at most. `on_end` is awaited with each end,
     which counts as acknowledged when it returns; one that raises is called again later. `disk_bytes` bounds
-    the folder. An `observer` is shown each event and decision, a turn of the loop later.
+    the folder; `durability` tells what a message that was taken on outlasts. An `observer` is shown each
+    event and decision, a turn of the loop later.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         seed: int | None = None,
         connections: int = 256,
         disk_bytes: int = 64_000_000,
+        durability: Durability = Durability.PROCESS,
         observer: Observer | None = None,
     ) -> None:
         self.settings = settings
@@ -97,6 +99,7 @@
         self._deliver, self._on_end = transport, on_end
         self._seed = secrets.randbits(64) if seed is None else seed
         self._connections, self._disk_bytes, self._observer = connections, disk_bytes, observer
+        self._durability = durability
         self._phase = _Phase.NEW
 
     async def __aenter__(self) -> Self:
@@ -123,8 +126,7 @@
             self._lock = FolderLock(self._folder, lambda: not loop.is_closed())
             stack.callback(self._lock.release)
             self._clock = LoopClock()
-            disk, clock = FolderDisk(self._folder), self._clock
-            self._journal = Journal(disk, self._disk_bytes, clock.wall_ms(), clock.now_us)
+            self._journal = open_journal(self._folder, self._disk_bytes, self._clock, self._durability)
             stack.callback(self._journal.close)
             self._desk = Desk(self._on_end, self._ended)
             self._transport = (
@@ -259,9 +261,13 @@
 
     def withdraw(self, hand_in: HandIn) -> None:
         """Take a hand-in back; one that has been settled stays."""
-        if not hand_in.settled and self._phase is _Phase.OPEN:
-            self._node.hung_up(hand_in)
-            hand_in.withdraw()
+        if hand_in.settled or self._phase is not _Phase.OPEN:
+            return
+        if self._node.knows(hand_in.message.name):  # in the journal already, and only waiting for its sync
+            self.opened(hand_in.message)
+            return
+        self._node.hung_up(hand_in)
+        hand_in.withdraw()
 
     def opened(self, message: core.Message) -> Taken:
         """What stands for a message that was taken on."""
--- a/amberlug/platform/checking.py
+++ b/amberlug/platform/checking.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from amberlug.core.journal import Durability
 from amberlug.core.listing import address, read_news
-from amberlug.platform.config import read_limits
+from amberlug.platform.config import read_durability, read_limits
 from stoatusher import settings
 
 LIMITS = ("sockets", "memory_mb", "disk_mb")
@@ -32,7 +33,8 @@
         return [Problem("the whole", "it is nested too deep")]
     if not isinstance(data, Mapping):
         return [Problem("the whole", "it is no object")]
-    return [*_addresses(data), *_seed(data), *_limits(data), *_settings(data), *_known(data)]
+    parts = (_addresses, _seed, _durability, _limits, _settings, _known)
+    return [problem for part in parts for problem in part(data)]
 
 
 def _addresses(data: Mapping[str, Any]) -> Iterator[Problem]:
@@ -53,6 +55,14 @@
         yield Problem("seed", f"not a hexadecimal number: {data.get('seed')!r}")
 
 
+def _durability(data: Mapping[str, Any]) -> Iterator[Problem]:
+    try:
+        read_durability(data)
+    except ValueError:
+        words = ", ".join(it.value for it in Durability)
+        yield Problem("durability", f"none of {words}: {data['durability']!r}")
+
+
 def _limits(data: Mapping[str, Any]) -> Iterator[Problem]:
     limits = data.get("limits")
     if not isinstance(limits, Mapping):
--- a/amberlug/platform/config.py
+++ b/amberlug/platform/config.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from amberlug.core.journal import Durability
 from amberlug.core.listing import address, read_news
 from amberlug.core.messages import BODY_MOST
 from amberlug.core.ports import Address, News
@@ -51,6 +52,12 @@
     limits: Limits
     known: News
     settings: Settings
+    durability: Durability
+
+
+def read_durability(data: Mapping[str, Any]) -> Durability:
+    """Read what a message that was taken on outlasts: an operator's choice, which the platform leaves out."""
+    return Durability(data.get("durability", Durability.PROCESS.value))
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -75,6 +82,7 @@
             limits=limits,
             known=known,
             settings=settings,
+            durability=read_durability(data),
         )
     except (KeyError, TypeError, AttributeError, OverflowError, RecursionError) as error:
         raise ValueError(f"the configuration is malformed: {error!r}") from None
--- a/amberlug/platform/daemon.py
+++ b/amberlug/platform/daemon.py
@@ -11,7 +11,7 @@
 import sys
 
 from amberlug.core.clock import LoopClock
-from amberlug.core.journal import FolderDisk, Journal
+from amberlug.core.journal import open_journal
 from amberlug.core.lock import FolderLock
 from amberlug.core.log import LOGGER, log
 from amberlug.core.node import Node
@@ -41,7 +41,7 @@
     lock = FolderLock(config.state, lambda: not loop.is_closed())
     clock = LoopClock()
     room = int(config.limits.disk_bytes * DISK_SHARE)
-    journal = Journal(FolderDisk(config.state), room, clock.wall_ms(), clock.now_us)
+    journal = open_journal(config.state, room, clock, config.durability)
     caller, notices = Caller(config.settings, config.limits.links, clock), Notices(config.discovery)
     node = Node(config.settings, config.seed, journal, caller, notices, clock)
     node.listed(config.known, ListKind.STALE)
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import errno
+import random
+from collections.abc import Callable
 
 from amberlug.core.journal.records import number_of
 
@@ -22,6 +24,11 @@
         self.fails: OSError | None = None  # what each writing operation raises
         self.short = False  # a write that fails has written half
         self.room: int | None = None
+        self.synced: dict[str, int] = {name: len(data) for name, data in self.contents.items()}
+        self.lasting = set(self.contents)  # names that a power cut leaves
+        self.gone: dict[str, bytearray] = {}  # removed, and a power cut may bring them back
+        self.dropped: dict[str, int] = {}  # files of which a failed sync dropped what was not synced
+        self.sync_fails: OSError | None = None
         self.most = 0  # the most room that was ever taken, in whole blocks
 
     def _counts(self) -> bool:
@@ -79,10 +86,27 @@
         dies = self._counts()
         if dies and not self.torn:
             raise DiedError
-        del self.contents[name]
+        self.gone[name] = self.contents.pop(name)
         if dies:
             raise DiedError
 
+    def syncs(self, names: list[str], folder: bool) -> Callable[[], None]:
+        def job() -> None:
+            if self._counts():
+                raise DiedError
+            if self.sync_fails is not None:
+                for name in names:  # what was written since the last good one may be dropped
+                    self.dropped[name] = self.synced.get(name, 0)
+                raise self.sync_fails
+            for name in names:
+                if name in self.contents and name not in self.dropped:
+                    self.synced[name] = len(self.contents[name])
+            if folder:
+                self.lasting = set(self.contents)
+                self.gone.clear()
+
+        return job
+
     def close(self) -> None:
         pass
 
@@ -90,5 +114,22 @@
         """What the next process finds."""
         return FaultyDisk({name: bytes(data) for name, data in self.contents.items()})
 
+    def after_power_cut(self, chance: random.Random | None) -> FaultyDisk:
+        """What is left: what was synced, and with `chance` some blocks of the rest, in no order."""
+        left: dict[str, bytes] = {}
+        for name, data in {**self.gone, **self.contents}.items():
+            lasts = name in self.lasting or (chance is not None and chance.random() < 0.5)
+            if not lasts or (name in self.gone and chance is not None and chance.random() < 0.5):
+                continue
+            safe = self.synced.get(name, 0)
+            rest = bytearray(data[safe:]) if chance is not None else bytearray()
+            if chance is not None:
+                rest = rest[: chance.randint(0, len(rest))]
+                for at in range(0, len(rest), 64):
+                    if chance.random() < 0.4:
+                        rest[at : at + 64] = bytes(len(rest[at : at + 64]))
+            left[name] = bytes(data[:safe]) + bytes(rest)
+        return FaultyDisk(left)
+
     def segments(self) -> list[str]:
         return sorted(name for name in self.contents if number_of(name) is not None)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -71,6 +71,8 @@
     settings: dict[str, Any]
     limits: dict[str, float]
     port: int = field(default_factory=free_port)
+    options: dict[str, Any] = field(default_factory=dict)  # of an operator, in the configuration
+    blocks: int = 0  # of 512 bytes, that a file of the relay's may have; 0 for any number
     process: asyncio.subprocess.Process | None = None
 
     @property
@@ -82,6 +84,7 @@
             "name": "n0", "seed": "8c1f30d27a5be964", "limits": self.limits,
             "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.platform.port}",
             "known": {"revision": 1, "complete": True, "members": self.members}, "settings": self.settings,
+            **self.options,
         }))  # fmt: skip
 
     async def start(self) -> None:
@@ -92,8 +95,11 @@
             "ROUTER_CONFIG": str(self.config), "ROUTER_STATE": str(state),
             "ROUTER_DISCOVERY": f"127.0.0.1:{self.platform.port}",
         }  # fmt: skip
+        command = [sys.executable, "-m", "amberlug"]
+        if self.blocks:
+            command = ["/bin/sh", "-c", f'ulimit -f {self.blocks}; exec "$0" "$@"', *command]
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "amberlug", cwd=ROOT, env=variables,
+            *command, cwd=ROOT, env=variables,
             stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         await self.said("ready on")
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -254,6 +254,189 @@
     world.now = ""
 
 
+# Power cuts: what was told must outlast what was not synced.
+
+
+class HandSyncer:
+    """Runs syncs when the test says so."""
+
+    def __init__(self) -> None:
+        self.jobs: list[tuple[Callable[[], None], Callable[[OSError | None], None]]] = []
+
+    def start(self, job: Callable[[], None], done: Callable[[OSError | None], None]) -> None:
+        self.jobs.append((job, done))
+
+    def close(self) -> None:
+        pass
+
+    def run(self) -> None:
+        while self.jobs:
+            job, done = self.jobs.pop(0)
+            error: OSError | None = None
+            try:
+                job()
+            except OSError as failed:
+                error = failed
+            done(error)
+
+
+class Told:
+    """A journal whose syncs come late, and what has been told to anybody so far."""
+
+    def __init__(self, disk: FaultyDisk) -> None:
+        self.now = [NOW * 1000]
+        self.syncer = HandSyncer()
+        self.journal = Journal(disk, SMALL_ROOM, NOW, lambda: self.now[0], self.syncer)
+        self.asked: dict[str, Message] = {}
+        self.taken: set[str] = set()
+        self.left: dict[str, set[int]] = {}
+        self.tries: dict[str, int] = {}
+        self.owed: dict[str, End] = {}
+        self.asked_end: dict[str, End] = {}
+        self.over: set[str] = set()
+
+    def take(self, name: str, size: int = 1500) -> None:
+        one = message(name, size)
+        if self.journal.fits(len(one.body)):
+            self.asked[name] = one
+            self.journal.take(one, NOW)
+            self.journal.after(lambda: self.taken.add(name))
+
+    def attempt(self, name: str) -> None:
+        if name not in self.asked:
+            return
+        number = self.tries.get(name, 0)
+        self.tries[name] = number + 1
+        self.journal.attempt(attempt(self.asked[name], number), NOW)
+        self.journal.after(lambda: self.left.setdefault(name, set()).add(number))
+
+    def owe(self, name: str, outcome: Outcome) -> None:
+        if name in self.asked:
+            end = self.asked_end[name] = End(name, outcome)
+            self.journal.owe(self.asked[name], end)
+            self.journal.after(lambda: self.owed.__setitem__(name, end))
+
+    def end(self, name: str) -> None:
+        if name in self.asked:
+            self.over.add(name)
+            self.journal.end(name, LONG, NOW)
+
+    def work(self, sync: bool) -> None:
+        self.now[0] += 2_000_000
+        self.journal.work()
+        if sync:
+            self.syncer.run()
+
+    def check(self, found: Journal) -> None:
+        assert [it for it in found.damage if "missing" in str(it)] == []
+        for name in self.taken:
+            one = found.held.get(name)
+            if one is None:
+                assert name in self.over
+                assert found.knows(name)
+            elif name in self.owed:
+                assert one.end == self.owed[name] or name in self.over
+            elif one.end is None:
+                assert one.message.body == self.asked[name].body
+                assert self.left.get(name, set()) <= set(one.tried)
+            else:
+                assert one.end == self.asked_end[name]
+        assert set(found.held) <= set(self.asked)
+
+
+def friday(told: Told) -> None:
+    told.take("held")
+    told.attempt("held")
+    for count in range(14):
+        name = f"m{count}"
+        told.take(name)
+        told.work(sync=count % 3 == 0)
+        told.attempt(name)
+        told.work(sync=count % 2 == 0)
+        if count % 3 == 0:
+            told.owe(name, Outcome.GIVEN_UP)
+            told.work(sync=count % 2 == 1)
+            if count % 2:
+                told.end(name)
+        elif count % 3 == 1:
+            told.end(name)
+        told.work(sync=True)
+    told.end("held")
+    told.work(sync=True)
+
+
+@pytest.mark.parametrize("model", ["kept", "lost", "torn"])
+def test_a_power_cut_at_every_step_takes_back_nothing_that_was_told(tight: None, model: str) -> None:
+    compacted = 0
+    for at in itertools.count(1):
+        disk = FaultyDisk()
+        disk.dies_at, disk.torn = at, True
+        told = Told(disk)
+        try:
+            friday(told)
+        except DiedError:
+            pass
+        else:
+            break
+        compacted += rec.file_name(1) in disk.gone
+        for seed in range(1 if model != "torn" else 6):
+            chance = random.Random(at * 100 + seed) if model == "torn" else None
+            left = disk.after_death() if model == "kept" else disk.after_power_cut(chance)
+            told.check(opened(left, SMALL_ROOM))
+            told.check(opened(left.after_death(), SMALL_ROOM))
+    assert at > 100
+    assert compacted > 3
+
+
+def test_nothing_is_told_before_its_sync_and_many_share_one() -> None:
+    disk = FaultyDisk()
+    told = Told(disk)
+    told.take("first", 5)
+    for count in range(50):
+        told.take(f"m{count}", 5)
+    assert told.taken == set()
+    assert len(told.syncer.jobs) == 1
+    told.syncer.run()
+    assert len(told.taken) == 51
+    assert sum(disk.synced.values()) > 51 * 60
+
+
+def test_a_failed_sync_is_not_trusted_and_all_is_written_anew(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
+    disk = FaultyDisk()
+    told = Told(disk)
+    told.take("a")
+    told.syncer.run()
+    told.take("b")
+    told.attempt("a")
+    disk.sync_fails = OSError(errno.EIO, "lost")
+    told.syncer.run()
+    assert told.taken == {"a"}
+    assert not told.journal.fits(5)
+    disk.sync_fails = None
+    told.work(sync=True)
+    assert (told.taken, told.left) == ({"a", "b"}, {"a": {0}})
+    assert told.journal.fits(5)
+    assert len(disk.segments()) == 2
+    told.check(opened(disk.after_power_cut(None)))
+    assert "a sync failed" in caplog.text
+
+
+def test_with_an_interval_nobody_waits_and_a_sync_follows() -> None:
+    disk, now, syncer = FaultyDisk(), [0], HandSyncer()
+    journal = Journal(disk, ROOM, NOW, lambda: now[0], syncer, 1_000_000)
+    told: list[str] = []
+    journal.take(message("a"), NOW)
+    journal.after(lambda: told.append("a"))
+    assert (told, journal.waits) == (["a"], False)
+    assert journal.work() == 1_000_000
+    now[0] = 1_000_000
+    assert journal.work() is None
+    syncer.run()
+    assert journal.work() is None  # and none follows without a write
+    assert list(opened(disk.after_power_cut(None)).held) == ["a"]
+
+
 # Disks that fill or fail.
 
 
@@ -436,10 +619,10 @@
         if count % 10:
             journal.end(one.name, NOW, NOW)
     before, operations = next(ticks), disk.operations
-    assert journal.work()
+    assert journal.work() == room.SLICE_US
     assert next(ticks) - before < 2 * room.SLICE_US
     assert disk.operations - operations < 12
-    slices = sum(1 for _ in iter(journal.work, False))
+    slices = sum(1 for _ in iter(journal.work, None))
     assert slices > 10
 
 
--- /dev/null
+++ b/tests/test_journal_process.py
@@ -0,0 +1,148 @@
+"""The real program and its journal: killed while it compacts, short of room, under a limit on file sizes."""
+
+import asyncio
+import contextlib
+import errno
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from amberlug.standin.wire import OK, PATIENCE, Platform, StandIn
+from tests.conftest import setup
+from tests.faulty import FaultyDisk
+from tests.rig import Relay, hand_in, member, run
+from tests.test_journal import NOW, Told, message, opened
+
+BODY = b"x" * 5000
+
+
+def started(folder: Path, platform: Platform, endpoint: StandIn, disk_mb: float) -> Relay:
+    limits = {"disk_mb": disk_mb, "memory_mb": 64, "sockets": 256}
+    settings = setup(Weights="none", GranularityUs=1000)
+    return Relay(folder, platform, [member(endpoint.port)], settings, limits)
+
+
+async def give(relay: Relay, name: str, kind: str, body: bytes = BODY) -> int:
+    headers = hand_in(name, kind)
+    return (await relay.ask("POST", f"/{kind}", headers, body)).status
+
+
+def used(folder: Path) -> int:
+    total = 0
+    for path in folder.iterdir():
+        with contextlib.suppress(FileNotFoundError):  # compacted away meanwhile
+            total += -(-path.stat().st_size // 512) * 512
+    return total
+
+
+async def all_ended(names: set[str], endpoint: StandIn, platform: Platform) -> None:
+    """Wait until each message was delivered or told to be over."""
+    async with asyncio.timeout(PATIENCE):
+        while not names <= {it["message"] for it in platform.notices} | {seen.name for seen in endpoint.seen}:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("durability", ["process", "group"])
+def test_kills_while_it_compacts_forget_nothing_and_repeat_nothing(tmp_path: Path, durability: str) -> None:
+    async def scenario() -> None:
+        endpoint, platform = await StandIn(OK).start(), Platform()
+        await platform.start()
+        relay = started(tmp_path, platform, endpoint, 0.3)
+        relay.options = {"durability": durability}
+        taken: set[str] = set()
+        await relay.start()
+        for life in range(6):
+            for count in range(18):
+                name = f"m{life}-{count}"
+                if await give(relay, name, "unsafe") == 202:
+                    taken.add(name)
+                assert used(tmp_path / "state") <= 300_000
+            await relay.kill()  # at whatever it is doing
+            await relay.start()
+        assert not (tmp_path / "state" / "segment-000000000001.log").exists()
+        assert len(taken) > 60
+        await all_ended(taken, endpoint, platform)
+        assert max(Counter(seen.name for seen in endpoint.seen).values()) == 1
+        await relay.kill()
+        await endpoint.stop()
+        await platform.stop()
+
+    run(scenario())
+
+
+def test_a_limit_on_the_size_of_files_is_lived_with(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint, platform = await StandIn(OK).start(), Platform()
+        await platform.start()
+        relay = started(tmp_path, platform, endpoint, 3.0)
+        relay.blocks = 32  # 16 KiB, where a segment would have 168
+        await relay.start()
+        for count in range(20):
+            assert await give(relay, f"m{count}", "unsafe") == 202
+        assert [seen.name for seen in await endpoint.requests(20)] == [f"m{count}" for count in range(20)]
+        assert await give(relay, "large", "unsafe", b"x" * 30_000) == 429  # it fits into no file
+        await relay.kill()
+        await relay.start()
+        assert await give(relay, "m3", "unsafe") == 202  # known, and not taken twice
+        assert await give(relay, "next", "unsafe") == 202
+        await endpoint.requests(21)
+        assert len(endpoint.seen) == 21
+        await relay.kill()
+        await endpoint.stop()
+        await platform.stop()
+
+    run(scenario())
+
+
+def test_a_full_folder_slows_intake_with_a_time_to_come_again_and_goes_on(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint, platform = await StandIn(None).start(), Platform()
+        await platform.start()
+        relay = started(tmp_path, platform, endpoint, 0.3)
+        relay.settings["Bounds"]["MaxOpen"] = 400
+        await relay.start()
+        names, reply = [], None
+        for count in range(200):
+            body = {f"m{count}": BODY * 3}
+            (name,) = body
+            reply = await relay.ask("POST", "/unsafe", hand_in(name, "unsafe", left_ms=60_000), body[name])
+            if reply.status != 202:
+                break
+            names.append(name)
+        assert reply is not None
+        assert (reply.status, bytes(reply.body)) == (503, b"no room\n")
+        assert float(reply.headers["retry-after"]) > 0
+        assert 5 < len(names) < 30
+        assert used(tmp_path / "state") <= 300_000
+        endpoint.usual = OK
+        for seen in list(endpoint.seen):
+            seen.answer(OK)
+        await endpoint.requests(len(names))
+        async with asyncio.timeout(10):
+            while (await give(relay, "later", "unsafe")) != 202:
+                await asyncio.sleep(0.05)
+        await relay.kill()
+        await endpoint.stop()
+        await platform.stop()
+
+    run(scenario())
+
+
+def test_syncs_that_fail_now_and_then_take_back_nothing_that_was_told() -> None:
+    for failing in range(1, 12):
+        disk = FaultyDisk()
+        told = Told(disk)
+        for count in range(12):
+            disk.sync_fails = OSError(errno.EIO, "lost") if count == failing else None
+            told.take(f"m{count}")
+            told.attempt(f"m{count}")
+            told.work(sync=True)
+            if count % 2:
+                told.end(f"m{count}")
+            told.check(opened(disk.after_power_cut(None)))
+        disk.sync_fails = None
+        told.work(sync=True)
+        assert told.taken == set(told.asked)
+        assert told.journal.fits(5)
+        told.journal.take(message("last"), NOW)
