--- /dev/null
+++ b/amberlug/cli/journals.py
@@ -0,0 +1,87 @@
+"""`amberlug journal`: looks into a state folder, and saves what can be read of a damaged one."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from collections import Counter
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from amberlug.core.journal import FolderDisk, Journal, legacy
+from amberlug.core.journal.recovery import Found, held, read_folder
+from amberlug.core.ports import Held
+
+ROOM = 1 << 40  # bytes: a salvaged journal takes what it needs
+
+
+def main(command: str, folder: Path, to: Path | None, as_json: bool) -> int:
+    """Run one command; 0, 1 where something is damaged, 2 where the folder can't be read or written."""
+    if not folder.is_dir():
+        print(f"amberlug: {folder} is no folder", file=sys.stderr)
+        return 2
+    disk = FolderDisk(folder, writable=False)
+    try:
+        found, now_ms = read_folder(disk), int(time.time() * 1000)
+        old, ones = legacy.read(disk), held(found, now_ms)
+        if old is not None:
+            ones = legacy.merged(old, ones, found.ended)
+        if to is not None:
+            salvage(found, ones, to, now_ms)
+    except (OSError, ValueError) as error:
+        print(f"amberlug: {folder}: {error}", file=sys.stderr)
+        return 2
+    finally:
+        disk.close()
+    figures = look(found, ones) if command != "verify" else {}
+    damage = [str(it) for it in found.damage]
+    if as_json:
+        print(json.dumps({**figures, "damage": damage}))
+    else:
+        show(figures, damage)
+    return 1 if damage else 0
+
+
+def look(found: Found, ones: Mapping[str, Held]) -> dict[str, Any]:
+    """What a folder holds, in figures."""
+    going = [one for one in ones.values() if one.end is None]
+    return {
+        "segments": [{"number": it.number, "bytes": it.size} for it in found.segments],
+        "bytes": sum(it.size for it in found.segments),
+        "live_bytes": sum(raw.size for raw in found.messages.values()),
+        "held": dict(Counter(one.message.message_class for one in going)),
+        "attempts_without_outcome": sum(it.result is None for one in going for it in one.tried.values()),
+        "ends_owed": dict(Counter(one.end.outcome.value for one in ones.values() if one.end is not None)),
+        "names_known": len(found.ended),
+    }
+
+
+def show(figures: Mapping[str, Any], damage: list[str]) -> None:
+    """Print it for a person."""
+    for name, value in figures.items():
+        if name == "segments":
+            print(f"segments: {len(value)}")
+            for it in value:
+                print(f"  {it['number']:12d}  {it['bytes']:12d} bytes")
+        elif isinstance(value, dict):
+            parts = ", ".join(f"{count} {what or 'unknown'}" for what, count in sorted(value.items()))
+            print(f"{name.replace('_', ' ')}: {parts or 'none'}")
+        else:
+            print(f"{name.replace('_', ' ')}: {value}")
+    for line in damage:
+        print(f"DAMAGED {line}")
+    if not damage:
+        print("no damage")
+
+
+def salvage(found: Found, ones: Mapping[str, Held], to: Path, now_ms: int) -> None:
+    """Write what could be read to a new folder; `OSError` where it is not empty."""
+    to.mkdir(parents=True, exist_ok=True)
+    if any(to.iterdir()):
+        raise OSError(f"{to} is not empty")
+    journal = Journal(FolderDisk(to), ROOM, now_ms, time.monotonic_ns)
+    names = {name: until for name, (until, _) in found.ended.items()}
+    journal.carry_over(list(ones.values()), names, found.memory, now_ms)
+    journal.close()
--- a/amberlug/cli/main.py
+++ b/amberlug/cli/main.py
@@ -16,7 +16,15 @@
     check = commands.add_parser("check", help="check a configuration: all its errors, each with its place")
     check.add_argument("file", type=Path)
     trial = commands.add_parser("try", help="run the relay among stand-ins for some ten seconds")
-    for command in (check, trial):
+    journal = commands.add_parser("journal", help="look into a state folder; save what a damaged one holds")
+    actions = journal.add_subparsers(dest="action", metavar="ACTION", required=True)
+    inspect = actions.add_parser("inspect", help="what is held, how large, what is damaged")
+    verify = actions.add_parser("verify", help="what is damaged")
+    salvage = actions.add_parser("salvage", help="write what can be read to a new folder")
+    for action in (inspect, verify, salvage):
+        action.add_argument("folder", type=Path)
+    salvage.add_argument("to", type=Path)
+    for command in (check, trial, inspect, verify, salvage):
         command.add_argument("--json", action="store_true", help="print one JSON object, for machines")
     return it
 
@@ -32,6 +40,11 @@
         from amberlug.cli import trial
 
         return trial.main(options.json)
+    if options.command == "journal":
+        from amberlug.cli import journals
+
+        to = options.to if options.action == "salvage" else None
+        return journals.main(options.action, options.folder, to, options.json)
     from amberlug.platform import daemon
 
     return daemon.main()
--- a/amberlug/core/journal/disk.py
+++ b/amberlug/core/journal/disk.py
@@ -39,8 +39,9 @@
 class FolderDisk:
     """A folder of the file system; `write()` outlasts SIGKILL with no sync."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, writable: bool = True) -> None:
         self._folder = folder
+        self._flags = os.O_RDWR | os.O_APPEND if writable else os.O_RDONLY
         self._open: dict[str, int] = {}
 
     def files(self) -> dict[str, int]:
@@ -90,5 +91,5 @@
         if (file := self._open.get(name)) is None:
             while len(self._open) > 2:  # guards against a descriptor for each segment at the start
                 os.close(self._open.pop(next(iter(self._open))))
-            file = self._open[name] = os.open(self._folder / name, os.O_RDWR | os.O_APPEND)
+            file = self._open[name] = os.open(self._folder / name, self._flags)
         return file
--- a/amberlug/core/journal/log.py
+++ b/amberlug/core/journal/log.py
@@ -7,7 +7,7 @@
 import json
 import secrets
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import astuple
 from itertools import islice
 
@@ -116,23 +116,30 @@
 
     def _carry_over(self, old: legacy.Old, now_ms: int) -> None:
         """Write what a folder of an earlier release holds into segments, then take its file away."""
+        both = [one for name, one in self.held.items() if name in old.held]
         try:
-            for one in [one for name, one in self.held.items() if name in old.held]:
-                self._carry(one)
-            for name, until_ms in old.ended.items():
-                self._write(it.ENDED, name, ENDED.pack(until_ms, now_ms))
-                self._ended[name] = self._clock_us() + max(0, until_ms - now_ms) * 1000
+            self.carry_over(both, old.ended, old.memory, now_ms)
         except OSError as error:
             log(f"journal: the folder of the earlier release stays as it is: {error}")
             return
         self._strays(old.files)
 
+    def carry_over(self, ones: Iterable[Held], ended: Mapping[str, int], memory: Memory, now_ms: int) -> None:
+        """Write what was read elsewhere; `OSError` where it can't all be."""
+        for one in ones:
+            self._carry(one)
+        for name, until_ms in ended.items():
+            self._write(it.ENDED, name, ENDED.pack(until_ms, now_ms))
+            self._ended[name] = self._clock_us() + max(0, until_ms - now_ms) * 1000
+        if memory.wall_ms:
+            self._write(it.MEMORY, "", _memory_record(memory))
+
     def _carry(self, one: Held) -> None:
         message = one.message
         if one.end is not None:
             self._owe(message, one.end)
             return
-        self._write(it.TAKEN, message.name, self._take_record(message, 0))
+        self._write(it.TAKEN, message.name, self._take_record(message, one.taken_ms))
         for number, tried in one.tried.items():
             self._write(it.ATTEMPT, message.name, ATTEMPT.pack(number, tried.at_ms) + tried.endpoint.encode())
             if tried.result is not None:
@@ -192,9 +199,7 @@
     def remember(self, memory: Memory) -> None:
         if memory.seen != self.memory.seen:
             self.memory = memory
-            rows = [astuple(seen) for seen in memory.seen]
-            fields = {"wall": memory.wall_ms, "clock": memory.clock_us, "seen": rows}
-            self._note(it.MEMORY, "", _encode(fields).encode())
+            self._note(it.MEMORY, "", _memory_record(memory))
 
     def owe(self, message: Message, end: End) -> None:
         try:
@@ -260,7 +265,8 @@
                 log("journal: there is room again")
 
     def _write(self, kind: bytes, name: str, rest: bytes) -> None:
-        self._catch_up()
+        if self._late:
+            self._catch_up()
         size = self._append(kind, name, rest)
         if kind in (it.TAKEN, it.ATTEMPT, it.OUTCOME, it.OWED):
             if name not in self._live:
@@ -479,3 +485,8 @@
         self._use.used -= blocks(oldest.size)
         self._use.files -= 1
         self._room.freed(blocks(oldest.size), self._clock_us())
+
+
+def _memory_record(memory: Memory) -> bytes:
+    rows = [astuple(seen) for seen in memory.seen]
+    return _encode({"wall": memory.wall_ms, "clock": memory.clock_us, "seen": rows}).encode()
--- a/amberlug/core/journal/records.py
+++ b/amberlug/core/journal/records.py
@@ -78,9 +78,10 @@
 
 def encode(kind: bytes, name: bytes, rest: bytes, folder: int, segment: int, offset: int) -> bytes:
     """A record for one place."""
-    body = _RECORD.pack(MARK, kind, len(name), len(name) + len(rest)) + name + rest
-    check = zlib.crc32(body, zlib.crc32(_PLACE.pack(folder, segment, offset)))
-    return body[: _RECORD.size] + _CHECK.pack(check) + body[_RECORD.size :]
+    head = _RECORD.pack(MARK, kind, len(name), len(name) + len(rest))
+    check = zlib.crc32(head, zlib.crc32(_PLACE.pack(folder, segment, offset)))
+    check = zlib.crc32(rest, zlib.crc32(name, check))
+    return b"".join((head, _CHECK.pack(check), name, rest))
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -11,11 +11,12 @@
 
 from amberlug.cli import trial
 from amberlug.cli.main import main
+from amberlug.core.messages import Attempt, End, Message, Outcome
 from amberlug.platform.checking import check
 from amberlug.platform.config import read_config
 from amberlug.standin import deployment
 from tests.conftest import setup
-from tests.rig import ROOT, member
+from tests.rig import ROOT, journal_in, member
 
 
 def config(**changes: Any) -> dict[str, Any]:
@@ -118,6 +119,52 @@
     assert text.splitlines()[-1] == "BROKEN m1: lost, with 0 calls"
 
 
+def journal(folder: Path) -> None:
+    """A folder with a message of each sort."""
+    it = journal_in(folder)
+    sent, owed, over = (Message(name, "safe", None, 1, None, b"x" * 500, 10**15) for name in ("a", "b", "c"))
+    for one in (sent, owed, over):
+        it.take(one, 0)
+    it.attempt(Attempt(sent, 0, "e", 0, 1), 0)
+    it.owe(owed, End("b", Outcome.GIVEN_UP))
+    it.end("c", 10**15, 0)
+    it.close()
+
+
+def test_the_journal_commands(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    folder, saved = tmp_path / "state", tmp_path / "saved"
+    folder.mkdir()
+    journal(folder)
+    before = {path.name: path.read_bytes() for path in folder.iterdir()}
+    assert main(["journal", "inspect", str(folder), "--json"]) == 0
+    figures = json.loads(capsys.readouterr().out)
+    assert (figures["held"], figures["ends_owed"], figures["names_known"]) == (
+        {"safe": 1},
+        {"given_up": 1},
+        1,
+    )
+    assert figures["attempts_without_outcome"] == 1
+    assert main(["journal", "inspect", str(folder)]) == 0
+    assert "held: 1 safe" in capsys.readouterr().out
+    assert {path.name: path.read_bytes() for path in folder.iterdir()} == before  # it only reads
+    (path,) = folder.iterdir()
+    data = bytearray(path.read_bytes())
+    data[data.index(b"x" * 100) + 50] ^= 1
+    path.write_bytes(data)
+    assert main(["journal", "verify", str(folder)]) == 1
+    assert capsys.readouterr().out.startswith("DAMAGED segment 1 offset ")
+    assert main(["journal", "salvage", str(folder), str(saved)]) == 1
+    assert main(["journal", "verify", str(saved)]) == 0
+    held = journal_in(saved).held
+    assert {name: one.end for name, one in held.items()} == {
+        "a": End("a", Outcome.GIVEN_UP), "b": End("b", Outcome.GIVEN_UP)
+    }  # fmt: skip
+    capsys.readouterr()
+    assert main(["journal", "salvage", str(folder), str(saved)]) == 2
+    assert main(["journal", "inspect", str(tmp_path / "none")]) == 2
+    assert capsys.readouterr().err.count("\n") == 2
+
+
 def test_a_bad_command_is_told_and_serve_is_the_default() -> None:
     async def scenario() -> None:
         environ = {name: value for name, value in os.environ.items() if not name.startswith("ROUTER_")}
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -688,3 +688,43 @@
         held = opened(disk.after_death()).held
         assert set(held) == {"never-sent", "may-have-run", "refused-before", "given-up"}
         assert [it.result for it in held["may-have-run"].tried.values()] == [None]
+
+
+def test_compaction_that_cannot_keep_up_slows_intake_and_catches_up(tight: None) -> None:
+    disk, now = FaultyDisk(), [0]
+
+    def slow() -> int:
+        now[0] += room.SLICE_US  # each slice is over after its first look
+        return now[0]
+
+    journal = Journal(disk, SMALL_ROOM, NOW, slow)
+    names = itertools.count()
+    refused = 0
+    for _ in range(300):  # several a slice
+        for _ in range(4):
+            if not journal.fits(1500):
+                refused += 1
+                continue
+            one = message(f"m{next(names)}", 1500, until_ms=NOW)
+            journal.take(one, NOW)
+            journal.end(one.name, NOW, NOW)
+        journal.work()
+        assert disk.used() <= SMALL_ROOM
+    assert refused > 0
+    for _ in range(200):
+        journal.work()
+    assert journal.fits(1500)
+    assert disk.used() < SMALL_ROOM / 2
+
+
+def test_large_bodies_next_to_tiny_ones() -> None:
+    disk = FaultyDisk()
+    world = World(opened(disk, 2_700_000))
+    for count in range(120):
+        world.take(f"m{count}", 65_536 if count % 3 == 0 else 5)
+        if f"m{count}" in world.truths and count % 2:
+            world.end(f"m{count}")
+        world.work()
+    assert disk.most <= 2_700_000
+    assert sum(len(it.message.body) > 60_000 for it in world.truths.values()) > 15
+    world.check(opened(disk.after_death(), 2_700_000))
