--- a/amberlug/core/journal/log.py
+++ b/amberlug/core/journal/log.py
@@ -28,7 +28,10 @@
     Place,
     Segment,
     held,
+    parts_of,
+    place_of,
     read_folder,
+    sizes,
 )
 from amberlug.core.journal.room import SLICE_US, Room, Use, blocks
 from amberlug.core.journal.syncing import Entry, Syncer, Syncing
@@ -103,7 +106,7 @@
         self._ends: dict[int, list[str]] = {}  # of messages whose end stands in each segment
         for name, places in self._live.items():
             for place in places:
-                self._names.setdefault(place.segment, {})[name] = None
+                self._names.setdefault(parts_of(place)[0], {})[name] = None
         now_us = self._clock_us()
         self._ended: dict[str, _Ended] = {}
         for name, (until_ms, ended_ms, number) in found.ended.items():
@@ -231,7 +234,7 @@
     def _owe(self, message: Message, end: End) -> None:
         self._forget(message.name)
         self._owed.add(message.name)
-        self._live[message.name] = []
+        self._live[message.name] = ()
         self._use.held += 1
         self._write(it.OWED, message.name, self._owed_record(message, end))
 
@@ -256,7 +259,7 @@
     def _forget(self, name: str) -> None:
         places = self._live.pop(name, None)
         if places is not None:
-            self._use.live -= sum(place.size for place in places)
+            self._use.live -= sizes(places)
             self._use.held -= 1
         self._owed.discard(name)
 
@@ -290,19 +293,20 @@
             self._catch_up()
         self._append(kind, name, rest)
 
-    def _index(self, kind: bytes, name: str, place: Place) -> None:
+    def _index(self, kind: bytes, name: str, segment: int, offset: int, size: int) -> None:
         """Note where a record stands, as far as it must be found again."""
         if kind == it.ENDED:
-            self._ends.setdefault(place.segment, []).append(name)
+            self._ends.setdefault(segment, []).append(name)
         elif kind == it.MEMORY:
-            self._memory_at = place.segment, place.offset
+            self._memory_at = segment, offset
         elif kind in (it.TAKEN, it.ATTEMPT, it.OUTCOME, it.OWED):
-            if name not in self._live:
-                self._live[name] = []
+            places = self._live.get(name)
+            if places is None:
                 self._use.held += 1
-            self._live[name].append(place)
-            self._names.setdefault(place.segment, {})[name] = None
-            self._use.live += place.size
+                places = ()
+            self._live[name] = (*places, place_of(segment, offset, size))
+            self._names.setdefault(segment, {})[name] = None
+            self._use.live += size
 
     def _append(self, kind: bytes, name: str, rest: bytes) -> None:
         """Write one record whole, or nothing."""
@@ -321,7 +325,7 @@
             self._active = None
             segment = self._roll()
             place = self._place(segment, kind, name, rest)
-        self._index(kind, name, Place(*place, size))
+        self._index(kind, name, *place, size)
         if self._syncing is not None:
             self._syncing.wrote(segment.name, (segment.number, segment.size), (kind, name, rest))
 
@@ -415,8 +419,8 @@
         """Forget where records of a message stood that are not safe."""
         places = self._live.get(name)
         if places is not None:
-            kept = [one for one in places if (one.segment, one.offset + one.size) <= safe]
-            self._use.live -= sum(one.size for one in places) - sum(one.size for one in kept)
+            kept = tuple(place for place in places if _ends_at(place) <= safe)
+            self._use.live -= sizes(places) - sizes(kept)
             self._live[name] = kept
 
     def _mark(self, end: tuple[int, int]) -> None:
@@ -474,15 +478,18 @@
 
     def _copy(self, name: str, oldest: Segment) -> None:
         """Write forward what the oldest segment has of one message, if that has not ended."""
-        for place in [one for one in self._live.get(name, ()) if one.segment == oldest.number]:
-            data = self._disk.read(oldest.name, place.offset, place.size)
-            record = it.record_at(data, 0, self._folder, oldest.number, place.offset)
+        for place in self._live.get(name, ()):
+            segment, offset, size = parts_of(place)
+            if segment != oldest.number:
+                continue
+            data = self._disk.read(oldest.name, offset, size)
+            record = it.record_at(data, 0, self._folder, segment, offset)
             if record is None:
-                log(f"journal: segment {oldest.number} offset {place.offset}: damaged since it was written")
+                log(f"journal: segment {segment} offset {offset}: damaged since it was written")
             else:
                 self._append(record.kind, record.name, record.rest)
-            self._live[name].remove(place)
-            self._use.live -= place.size
+            self._live[name] = tuple(other for other in self._live[name] if other != place)
+            self._use.live -= size
 
     def _says(self, kind: bytes, name: str) -> bool:
         """Whether records of that kind still matter for that message."""
@@ -532,3 +539,8 @@
 def _memory_record(memory: Memory) -> bytes:
     rows = [astuple(seen) for seen in memory.seen]
     return _encode({"wall": memory.wall_ms, "clock": memory.clock_us, "seen": rows}).encode()
+
+
+def _ends_at(place: Place) -> tuple[int, int]:
+    segment, offset, size = parts_of(place)
+    return segment, offset + size
--- a/amberlug/core/journal/recovery.py
+++ b/amberlug/core/journal/recovery.py
@@ -4,8 +4,9 @@
 
 import json
 import struct
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Any
 
 from amberlug.core.journal import records as it
 from amberlug.core.journal.disk import Disk
@@ -37,12 +38,22 @@
         return f"segment {self.segment} offset {self.offset}: {self.size} bytes {self.what}"
 
 
-class Place(NamedTuple):
+Place = int  # a record's segment, offset and size in one number: of 100,000, the collector need look at none
+
+
+def place_of(segment: int, offset: int, size: int) -> Place:
     """Where a record stands."""
+    return segment << 72 | offset << 32 | size
 
-    segment: int
-    offset: int
-    size: int
+
+def parts_of(place: Place) -> tuple[int, int, int]:
+    """Its segment, offset and size."""
+    return place >> 72, place >> 32 & (1 << 40) - 1, place & (1 << 32) - 1
+
+
+def sizes(places: Iterable[Place]) -> int:
+    """How many bytes some records have together."""
+    return sum(place & (1 << 32) - 1 for place in places)
 
 
 @dataclass(slots=True)
@@ -53,12 +64,12 @@
     tried: dict[int, Tried] = field(default_factory=dict)
     end: End | None = None
     until_ms: int = 0
-    places: list[Place] = field(default_factory=list)  # of its records
+    places: tuple[Place, ...] = ()  # of its records
 
     @property
     def size(self) -> int:
         """Bytes of its records."""
-        return sum(place.size for place in self.places)
+        return sizes(self.places)
 
     @property
     def order(self) -> int:
@@ -237,7 +248,7 @@
     elif name not in found.ended:
         raw = found.messages.setdefault(name, Raw())
         _apply_to(found, raw, record)
-        raw.places.append(Place(segment, record.offset, record.size))
+        raw.places += (place_of(segment, record.offset, record.size),)
 
 
 def _apply_to(found: Found, raw: Raw, record: it.Record) -> None:
@@ -254,7 +265,7 @@
         raw.tried.setdefault(number, Tried(UNKNOWN, 0)).result = api.Result(rest[OUTCOME.size :].decode())
     elif kind == it.OWED:
         outcome, retry_ms, raw.until_ms = OWED.unpack(rest)
-        raw.end, raw.take, raw.tried, raw.places = End(record.name, OUTCOMES[outcome], retry_ms), None, {}, []
+        raw.end, raw.take, raw.tried, raw.places = End(record.name, OUTCOMES[outcome], retry_ms), None, {}, ()
     else:
         raise ValueError(f"kind {kind!r}")
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -630,13 +630,13 @@
     now = [0]
     disk = FaultyDisk()
     journal = Journal(disk, 64_000_000, NOW, lambda: now[0])
-    for count in range(20_000):
+    for count in range(100_000):
         one = message(f"{count:016x}", 10, until_ms=NOW + 1000 + count)
         journal.take(one, NOW)
         journal.end(one.name, one.deadline_ms, NOW)
         journal.work()
     assert journal.knows(f"{0:016x}")
-    assert Journal(disk.after_death(), 64_000_000, NOW, lambda: now[0]).knows(f"{19_000:016x}")
+    assert Journal(disk.after_death(), 64_000_000, NOW, lambda: now[0]).knows(f"{99_000:016x}")
     now[0] = 10_000_000
     assert not journal.knows(f"{8_000:016x}")
     assert journal.knows(f"{9_500:016x}")
