Write nothing for a sync that ends after the relay has closed

Cause: found in review: a sync under way at the close ended in the loop afterwards, and its mark opened the segment again, in a folder that may by then be another relay's. A client refused because the disk failed was told to come back by the rate of room, at once.

Change: the close waits for the sync and nothing follows it; without a want of room the usual time is told.

Result: a test that fails without the change; the library under all three durabilities, and a hand-in cancelled while it only waits for its sync, which is taken on, neither told nor sent before.

--- a/amberlug/core/journal/log.py
+++ b/amberlug/core/journal/log.py
@@ -69,7 +69,6 @@
         syncer: Syncer | None = None,
         interval_us: int | None = None,
     ) -> None:
-        self._syncer = syncer
         self._syncing = (
             Syncing(syncer, disk, clock_us, interval_us, self._write_anew, self._mark)
             if syncer is not None
@@ -167,8 +166,8 @@
 
     def close(self) -> None:
         """Let go of the files; nothing is written from now on."""
-        if self._syncer is not None:
-            self._syncer.close()
+        if self._syncing is not None:
+            self._syncing.close()
         self._disk.close()
 
     # What the core asks and tells.
--- a/amberlug/core/journal/room.py
+++ b/amberlug/core/journal/room.py
@@ -75,7 +75,7 @@
 
     def retry_us(self, use: Use, size: int) -> int:
         """When a message that did not fit may come again, by the rate at which room comes back."""
-        if not self._rate:
-            return USUAL_RETRY_US
         missing = use.used + size + RECORDS + BLOCK + self.reserve(use.held) - self.most
+        if not self._rate or missing <= 0:  # it is not for want of room, but for a disk that fails
+            return USUAL_RETRY_US
         return int(min(max(missing / self._rate, LEAST_RETRY_US), MOST_RETRY_US))
--- a/amberlug/core/journal/syncing.py
+++ b/amberlug/core/journal/syncing.py
@@ -60,6 +60,13 @@
         self._waiting: list[Callback] = []
         self._under_way: tuple[list[Callback], list[Entry], tuple[int, int]] | None = None
         self._due_us: int | None = None
+        self._closed = False
+
+    def close(self) -> None:
+        """Wait for the sync that runs; nothing follows it."""
+        # Guards against a mark that is written once the folder may be another relay's.
+        self._closed = True
+        self._syncer.close()
 
     def wrote(self, name: str, end: tuple[int, int], entry: Entry | None) -> None:
         """Note a record, or the head of a new segment."""
@@ -97,7 +104,7 @@
         return None
 
     def _start(self, again: bool = False) -> None:
-        if self._under_way is not None or (self.failed and not again):
+        if self._closed or self._under_way is not None or (self.failed and not again):
             return
         names, created = list(self._dirty), self._created
         self._under_way = self._waiting, self._since, self.end
@@ -110,6 +117,8 @@
             self._syncer.start(job, self._done)
 
     def _done(self, error: OSError | None) -> None:
+        if self._closed:
+            return
         assert self._under_way is not None
         waiting, entries, end = self._under_way
         self._under_way = None
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -422,6 +422,18 @@
     assert "a sync failed" in caplog.text
 
 
+def test_a_sync_that_ends_after_the_close_writes_nothing() -> None:
+    """The folder may be another relay's by then."""
+    disk = FaultyDisk()
+    told = Told(disk)
+    told.take("a")
+    before = {name: bytes(data) for name, data in disk.contents.items()}
+    told.journal.close()
+    told.syncer.run()
+    assert {name: bytes(data) for name, data in disk.contents.items()} == before
+    assert told.taken == set()
+
+
 def test_with_an_interval_nobody_waits_and_a_sync_follows() -> None:
     disk, now, syncer = FaultyDisk(), [0], HandSyncer()
     journal = Journal(disk, ROOM, NOW, lambda: now[0], syncer, 1_000_000)
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -7,16 +7,19 @@
 import signal
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
+from amberlug.core.journal.threads import ThreadSyncer
 from amberlug.core.messages import Refusal
 from amberlug.library import (
     AcknowledgedError,
     BadMessageError,
     BlockingRelay,
     Call,
+    Durability,
     End,
     Endpoint,
     EndpointFile,
@@ -848,3 +851,52 @@
             assert (await held.end()).outcome is DELIVERED
 
     run(scenario())
+
+
+def test_a_hand_in_cancelled_while_it_waits_for_a_sync_was_taken_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    held: list[Callable[[], None]] = []
+
+    class Slow(ThreadSyncer):
+        def start(self, job: Callable[[], None], done: Callable[[OSError | None], None]) -> None:
+            held.append(lambda: ThreadSyncer.start(self, job, done))
+
+    monkeypatch.setattr("amberlug.core.journal.ThreadSyncer", Slow)
+
+    async def scenario() -> None:
+        async with relay_on(tmp_path, partner := Partner(), durability=Durability.GROUP) as relay:
+            task = asyncio.create_task(relay.hand_in(message("m1", "unsafe")))
+            async with asyncio.timeout(PATIENCE):
+                while not relay._node.knows("m1"):
+                    await asyncio.sleep(0)
+            await asyncio.sleep(0.02)
+            assert (task.done(), partner.calls) == (False, [])  # neither told nor sent before the sync
+            task.cancel()
+            await asyncio.wait({task})
+            taken = relay.find("m1")
+            assert taken is not None
+            waits = asyncio.create_task(taken.end())
+            async with asyncio.timeout(PATIENCE):
+                while not waits.done():
+                    while held:
+                        held.pop(0)()
+                    await asyncio.sleep(0.001)
+            assert waits.result().outcome is DELIVERED
+            assert partner.names == ["m1"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("durability", list(Durability))
+def test_every_durability_delivers_and_closes(tmp_path: Path, durability: Durability) -> None:
+    async def scenario() -> None:
+        for life in range(2):
+            async with relay_on(tmp_path, partner := Partner(), durability=durability) as relay:
+                names = [f"m{life}-{count}" for count in range(20)]
+                taken = await asyncio.gather(*(relay.hand_in(message(name)) for name in names))
+                assert {(await it.end()).outcome for it in taken} == {DELIVERED}
+                assert sorted(partner.names) == sorted(names)
+                assert relay.unclaimed() == []
+
+    run(scenario())
