Test power cuts in the recovery from a power cut

Need: a folder is most fragile while it is put in order. The test cuts the power at each of the first operations of a life that follows a power cut, eight times over; what was told before stays.

--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -740,3 +740,25 @@
     assert disk.most <= 2_700_000
     assert sum(len(it.message.body) > 60_000 for it in world.truths.values()) > 15
     world.check(opened(disk.after_death(), 2_700_000))
+
+
+def test_power_cuts_in_the_recovery_from_one_take_back_nothing(tight: None) -> None:
+    whole = FaultyDisk()
+    whole.dies_at = 160  # in the midst, with syncs under way and segments going
+    told = Told(whole)
+    with contextlib.suppress(DiedError):
+        friday(told)
+    told.asked["later"] = message("later")
+    for seed in range(8):
+        left = whole.after_power_cut(random.Random(seed))
+        for at in range(1, 14):
+            again = left.after_death()
+            again.dies_at, again.torn = at, True
+            with contextlib.suppress(DiedError):
+                life = Told(again)
+                life.take("later")
+                for _ in range(6):
+                    life.work(sync=True)
+            for cut in range(3):
+                torn = again.after_power_cut(random.Random(seed * 1000 + at * 10 + cut))
+                told.check(opened(torn, SMALL_ROOM))
