Forget names of ended messages from an ordered dict's front

Cause: a plain dict keeps the slots of what was taken from its front, and each look passed over all of them: with 100,000 names known, 70 us an end.

Change: an OrderedDict, whose front is found at once.

--- a/amberlug/core/journal/log.py
+++ b/amberlug/core/journal/log.py
@@ -6,7 +6,7 @@
 import errno
 import json
 import secrets
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import astuple
 from itertools import islice
@@ -107,7 +107,8 @@
             for place in places:
                 self._names.setdefault(parts_of(place)[0], {})[name] = None
         now_us = self._clock_us()
-        self._ended: dict[str, _Ended] = {}
+        # Ordered by hand: a plain dict passes over all that was taken from its front, again and again.
+        self._ended: OrderedDict[str, _Ended] = OrderedDict()
         for name, (until_ms, ended_ms, number) in found.ended.items():
             # In this clock: the wall's may be set meanwhile. None counts longer than its message had left.
             left_ms = max(0, min(until_ms - now_ms, until_ms - ended_ms))
@@ -250,8 +251,8 @@
     def _forget_names(self) -> None:
         """Forget the oldest names whose time is up, a few at a time."""
         now_us = self._clock_us()
-        for name in list(islice(self._ended, NAMES)):
-            ended = self._ended.pop(name)
+        for _ in range(min(NAMES, len(self._ended))):
+            name, ended = self._ended.popitem(last=False)
             if ended.until_us > now_us:
                 self._ended[name] = ended  # looked at again after all others
 
