Let destinations sleep: a table of members, and records only for what is awake

Change: stoatusher/membership.py keeps who is listed in rows of bytes; accounts, health and timers are made at the first message, and folded away (stoatusher/folding.py) to what a later decision would miss. A destination that no list names any more ends what it holds at once, and nothing of it stays but a told wait that runs.

--- a/stoatusher/account.py
+++ b/stoatusher/account.py
@@ -68,6 +68,7 @@
         self.blocked_until, self.usual_us = 0, FIRST_GUESS_US
         self.learned, self.learned_us = OPEN, 0  # M learned from the last refusal, and when
         self.pace, self.pace_us = 1.0, 0  # own calls done a second, and when that was last reckoned
+        self.listed = rate  # what the list says, whatever was reported since
         self.set_rate(rate)
 
     def set_rate(self, rate: float | None) -> None:
--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Iterator, Sequence
 
+from stoatusher import folding
 from stoatusher import interface as api
 from stoatusher.account import FIRST_GUESS_US, KEPT, OPEN, SECOND, SLOT_SHARE, Account
 from stoatusher.interface import Effect, Group, ListKind, Result, State
@@ -46,12 +47,18 @@
     return not (message.ran or message.out) or message.kind.effect is Effect.SAFE or keyed
 
 
+def elsewhere(was: api.Entry, entry: api.Entry) -> bool:
+    """Whether an endpoint is listed for another destination or kind now: as good as another endpoint."""
+    return (was.destination, was.kind) != (entry.destination, entry.kind)
+
+
 class Sender(Records):
     """All decisions of one relay."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__(shares=dict.fromkeys(settings.tenants, 0))
         self.settings, self.chance = settings, random.Random(seed)
+        self.quiet_us = folding.quiet_us(settings)
         self.asked, self.subscribed, self.pause_us = False, False, ASK_AGAIN_US
 
     def step(self, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
@@ -79,6 +86,7 @@
         for destination in urgent:
             self.serve(destination)
         self.close_idle()
+        self.fold_some()
         return self.actions
 
     def close_idle(self) -> None:
@@ -97,7 +105,8 @@
         if target is None:
             self.ask()
         elif isinstance(target, Destination):
-            self.touched[target] = None
+            if (to := self.destinations.get(target.number)) is not None:
+                self.touched[to] = None
         elif target.ref in self.messages:
             grace = target.deadline_us + self.settings.answer_slack_us // 2
             if self.now < target.deadline_us:  # an answer is late: a second copy may go, slots allowing
@@ -124,23 +133,129 @@
                 self.timer(self.now + self.pause_us, None)
             return
         self.subscribed |= event.kind is not ListKind.STALE
-        self.unlist(event)  # drains: nothing new from the moment this relay is told, well inside any grace
+        for entry in event.entries:  # what was folded away meets the change as what is awake does
+            if entry.destination in self.folded:
+                self.awaken(entry.destination)
+        left = self.unlist(
+            event
+        )  # drains: nothing new from the moment this relay is told, well inside any grace
         for entry in (entry for entry in event.entries if entry.state is State.IN):
-            name, to = entry.endpoint, self.destinations.setdefault(entry.destination, Destination())
-            rate = entry.rate if self.settings.rates_listed and entry.rate > 0 else None
-            where = name if self.settings.kinds[entry.kind].apart else ""
-            account = to.accounts[where] = to.accounts.get(where) or Account(self.settings, rate)
-            if name not in self.endpoints:
-                to.endpoints[name] = self.endpoints[name] = Endpoint(entry, account, deque(maxlen=KEPT))
-            elif self.endpoints[name].entry.rate != entry.rate:
-                account.set_rate(rate)
-            self.endpoints[name].entry = entry
-            self.touched[to] = None
+            self.members.put(entry)
+            if (to := self.destinations.get(entry.destination)) is not None:
+                self.enlist(to, entry)
+        for number in left:
+            if not self.members.serves(number):
+                self.close(number)
+
+    def unlist(self, news: api.Listed) -> dict[int, None]:
+        """Take off the list what drains, is gone or serves elsewhere; the destinations that it left."""
+        told, left = {entry.endpoint: entry for entry in news.entries}, dict[int, None]()
+        names = told if news.kind is ListKind.PATCH else [*self.members, *told]
+        for name in dict.fromkeys(names):
+            entry, was = told.get(name), self.members.get(name)
+            if was is not None and (entry is None or entry.state is State.GONE or elsewhere(was, entry)):
+                if was.destination in self.folded:
+                    self.awaken(was.destination)
+                self.members.remove(name)
+                self.leave(name)
+                left[was.destination] = None
+            if entry is not None and entry.state is State.DRAINING:
+                self.members.put(entry)
+                self.leave(name)
+        return left
+
+    def enlist(self, to: Destination, entry: api.Entry) -> None:
+        """Go on with an endpoint as the list has it now, at a destination that is awake."""
+        name = entry.endpoint
+        rate = entry.rate if self.settings.rates_listed and entry.rate > 0 else None
+        where = name if self.settings.kinds[entry.kind].apart else ""
+        account = to.accounts[where] = to.accounts.get(where) or Account(self.settings, rate)
+        if to.gone:
+            to.gone, account.listed = False, rate
+            account.set_rate(rate)
+        if name not in self.endpoints:
+            to.endpoints[name] = self.endpoints[name] = Endpoint(entry, account, deque(maxlen=KEPT))
+        elif self.endpoints[name].entry.rate != entry.rate:
+            account.listed = rate
+            account.set_rate(rate)
+        self.endpoints[name].entry = entry
+        self.touched[to] = None
+
+    def close(self, number: int) -> None:
+        """End at once what waits for a destination that no list names any more; nothing of it is kept."""
+        if (to := self.destinations.get(number)) is None:
+            return
+        to.gone = True
+        for account in to.accounts.values():
+            folding.start_afresh(account)
+        for message in list(to.waiting.values()):
+            self.finish(message)
+        if not to.held and not folding.told_to_wait(to, self.now):
+            del self.destinations[number]
+
+    def awaken(self, number: int) -> Destination:
+        """The record of a destination, made anew from the list and what was kept if it slept."""
+        if (to := self.destinations.get(number)) is None:
+            to = self.destinations[number] = Destination(number, used_us=self.now)
+            for entry in self.members.at(number):
+                if entry.state is State.IN:
+                    self.enlist(to, entry)
+            if (kept := self.folded.pop(number, None)) is not None:
+                folding.unfold(to, kept[1])
+                for name in to.endpoints:
+                    self.noted.pop(name, None)
+            self.look_later(to)
+        return to
+
+    def look_later(self, to: Destination) -> None:
+        to.look_us = self.now + self.quiet_us
+        self.looks.append((to.look_us, to.number))
+
+    def fold_some(self) -> None:
+        """Fold away what has been quiet, and forget what was folded and means nothing; a few a step."""
+        for _ in range(folding.LOOKS):
+            if not self.looks or self.looks[0][0] > self.now:
+                break
+            at_us, number = self.looks.popleft()
+            to = self.destinations.get(number)
+            if to is not None and to.look_us == at_us:
+                self.fold(to)
+        for _ in range(folding.LOOKS):
+            if not self.folded_looks or self.folded_looks[0][0] > self.now:
+                break
+            at_us, number = self.folded_looks.popleft()
+            if number in self.folded and self.folded[number][0] == at_us:
+                self.forget_folded(number)
+
+    def fold(self, to: Destination) -> None:
+        if folding.may_fold(to, self.now, self.settings):
+            self.put_away(to, b"" if to.gone else folding.fold(to, self.settings))
+        else:
+            self.look_later(to)
+
+    def put_away(self, to: Destination, kept: bytes) -> None:
+        """Let a destination sleep, with what is kept of it if anything is."""
+        del self.destinations[to.number]
+        for name, it in to.endpoints.items():
+            del self.endpoints[name]
+            if kept and (it.cold or it.account.limit(self.now) < it.account.units):
+                self.noted[name] = folding.seen(name, it)
+        if kept:
+            self.folded[to.number] = self.now + folding.FORGET_US, kept
+            self.folded_looks.append((self.now + folding.FORGET_US, to.number))
+
+    def forget_folded(self, number: int) -> None:
+        """Drop what was kept of a destination if a first message there would find it out of date."""
+        kept, to = self.folded[number][1], self.awaken(number)
+        folding.forget(to, self.now)
+        self.put_away(to, kept if folding.fold(to, self.settings) else b"")
 
     def take(self, event: api.Taken) -> None:
         if event.ref in self.messages:
             raise ValueError(f"message {event.ref} was taken before")
-        destination = self.destinations.setdefault(event.destination, Destination())
+        destination = self.awaken(event.destination)
+        if self.now - destination.used_us > folding.FORGET_US:
+            folding.forget(destination, self.now)
         kind = self.settings.classes[event.message_class]
         key, worth = event.key if kind.keep_order else None, kind.worth * self.share(event.tenant)
         message = Message(event.ref, kind, destination, key, self.now + event.left_us, worth)
@@ -182,7 +297,7 @@
         elif not message.out:
             message.destination.waiting[message.ref] = message
             spent = message.attempts >= self.settings.most_attempts or self.now >= message.deadline_us
-            if spent or not may_repeat(message, self.now):
+            if spent or message.destination.gone or not may_repeat(message, self.now):
                 self.finish(message)
 
     def answered(self, call: Call, result: Result, wait_us: int, report: tuple[float, ...]) -> None:
--- /dev/null
+++ b/stoatusher/folding.py
@@ -0,0 +1,131 @@
+"""What is kept of a destination that sleeps, and for how long.
+
+A destination is awake from its first message until it has been quiet for a while. Folded away, only numbers
+are left of it that a later decision would miss: told waits, limits and answer times learned, outages and the
+starts that bound a cold endpoint. They go too once they mean nothing any more. Whether a destination was
+folded away meanwhile never changes what is decided for it.
+"""
+
+from __future__ import annotations
+
+import marshal
+from collections import deque
+
+from stoatusher.account import FIRST_GUESS_US, KEPT, OPEN, SECOND, TRIES, Account
+from stoatusher.interface import Seen, Settings
+from stoatusher.state import NEVER, Destination, Endpoint
+
+QUIET_US = 10 * SECOND  # least time without a message or call until a destination is folded away
+FORGET_US = 600 * SECOND  # after so long answer times, pace and failures of what was not in an outage are old
+LOOKS = 8  # destinations that each step looks at, at most: more fold sooner, and make a step dearer
+
+
+def quiet_us(settings: Settings) -> int:
+    """How long a destination must have been quiet: connections are closed, and all buckets out of w."""
+    longest = max(kind.deadline_us for kind in settings.classes.values()) // TRIES  # of a stretched w
+    return max(QUIET_US, settings.idle_us, longest) + SECOND
+
+
+def may_fold(to: Destination, now_us: int, settings: Settings) -> bool:
+    """Whether nothing is held for a destination, out to it, or due at it."""
+    if to.held or now_us < to.timer_us or now_us - to.used_us < quiet_us(settings):
+        return False
+    for endpoint in to.endpoints.values():
+        endpoint.forget_idle(now_us - settings.idle_us)
+        if endpoint.out or endpoint.idle or now_us < endpoint.table_until:
+            return False
+    if to.gone and told_to_wait(to, now_us):
+        return False
+    accounts = to.accounts.values()
+    return not any(it.reserved or any(it.inside(now_us)) for it in accounts)
+
+
+def told_to_wait(to: Destination, now_us: int) -> bool:
+    """Whether a told wait runs; it holds for whoever serves the destination next."""
+    return any(account.blocked_until > now_us for account in to.accounts.values())
+
+
+def start_afresh(account: Account) -> None:
+    """Forget what was learned at endpoints that are gone, but for a told wait and calls that are out."""
+    account.usual_us, account.pace, account.pace_us = FIRST_GUESS_US, 1.0, 0
+    account.learned, account.learned_us, account.listed = OPEN, 0, None
+    account.set_rate(None)
+
+
+def forget(to: Destination, now_us: int) -> None:
+    """Forget what is too old to mean anything, of a destination that was not used for FORGET_US."""
+    # Guards against answer times and failures of weeks ago that decide today's first calls. Could do harm to
+    # what is slow as a rule: its first call is overdue sooner than need be, and held as a reservation less.
+    for account in to.accounts.values():
+        account.usual_us, account.pace, account.pace_us = FIRST_GUESS_US, 1.0, 0
+        if account.blocked_until <= now_us:
+            account.blocked_until = 0
+        if account.limit(now_us) >= account.units:
+            account.learned, account.learned_us, account.stretched = OPEN, 0, account.window
+        if account.listed != account.rate:
+            account.set_rate(account.listed)
+    for endpoint in to.endpoints.values():
+        if not endpoint.cold:
+            endpoint.failed_us = endpoint.done_us = endpoint.since_us = NEVER
+            endpoint.failure_rate, endpoint.spread = 0.0, 1.0
+            endpoint.swallows, endpoint.back_us = False, None
+            endpoint.starts.clear()
+
+
+def _account_numbers(it: Account) -> tuple[float | int | None, ...]:
+    return (
+        it.rate, it.listed, it.blocked_until, it.usual_us, it.learned, it.learned_us, it.stretched,
+        it.pace, it.pace_us,
+    )  # fmt: skip
+
+
+def _endpoint_numbers(it: Endpoint) -> tuple[object, ...]:
+    return (
+        it.failed_us, it.done_us, it.swallows, it.failure_rate, it.cold, it.since_us, it.spread, it.back_us,
+        tuple(it.starts),
+    )  # fmt: skip
+
+
+def fold(to: Destination, settings: Settings) -> bytes:
+    """What must be kept of a destination; nothing where a new one would be the same."""
+    accounts = {
+        where: _account_numbers(it)
+        for where, it in to.accounts.items()
+        if _account_numbers(it) != _account_numbers(Account(settings, it.listed))
+    }
+    endpoints = {
+        name: _endpoint_numbers(it)
+        for name, it in to.endpoints.items()
+        if _endpoint_numbers(it) != _endpoint_numbers(Endpoint(it.entry, it.account))
+    }
+    if not accounts and not endpoints:
+        return b""
+    return marshal.dumps((to.used_us, accounts, endpoints))
+
+
+def unfold(to: Destination, kept: bytes) -> None:
+    """Put back what was kept, into a destination just made from the list."""
+    to.used_us, accounts, endpoints = marshal.loads(kept)
+    for where, numbers in accounts.items():
+        account = to.accounts[where]
+        rate, account.listed, *rest = numbers
+        account.set_rate(rate)
+        (
+            account.blocked_until, account.usual_us, account.learned, account.learned_us, account.stretched,
+            account.pace, account.pace_us,
+        ) = rest  # fmt: skip
+    for name, numbers in endpoints.items():
+        it = to.endpoints[name]
+        (
+            it.failed_us, it.done_us, it.swallows, it.failure_rate, it.cold, it.since_us, it.spread,
+            it.back_us, starts,
+        ) = numbers  # fmt: skip
+        it.starts = deque(starts, maxlen=KEPT)
+
+
+def seen(name: str, it: Endpoint) -> Seen:
+    """What a next life must know of an endpoint."""
+    return Seen(
+        name, it.cold, it.since_us, it.failed_us, it.done_us, it.back_us, it.failure_rate, it.swallows,
+        it.account.learned, it.account.learned_us,
+    )  # fmt: skip
--- a/stoatusher/interface.py
+++ b/stoatusher/interface.py
@@ -130,7 +130,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """One endpoint in a list."""
+    """One endpoint in a list; `where` is its address, which decides nothing."""
 
     endpoint: str
     zone: str
@@ -138,6 +138,7 @@
     destination: int
     state: State
     rate: float
+    where: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from itertools import chain
 
+from stoatusher import folding
 from stoatusher import interface as api
 from stoatusher.account import Account
 from stoatusher.decide import ANSWER_WEIGHT, MAY_HAVE_RUN, Sender, may_refuse, may_repeat
@@ -72,24 +73,26 @@
         return False
 
     def serves(self, number: int) -> bool:
-        """Whether a list has named a destination; what no list has named is not taken on."""
-        return number in self.destinations
+        """Whether the list names a destination; for others nothing is taken on."""
+        return self.members.serves(number)
 
     def seen(self) -> tuple[api.Seen, ...]:
         """What a next life must know: outages that this relay saw, and limits that it learned."""
-        return tuple(
-            api.Seen(
-                name, it.cold, it.since_us, it.failed_us, it.done_us, it.back_us, it.failure_rate,
-                it.swallows, it.account.learned, it.account.learned_us,
-            )
+        awake = (
+            folding.seen(name, it)
             for name, it in self.endpoints.items()
             if it.cold or it.account.limit(self.now) < it.account.units
-        )  # fmt: skip
+        )
+        return (*awake, *self.noted.values())
 
     def remember(self, event: api.Remembered) -> None:
         """Go on with the bound on what is cold, and with limits, where the last life left off."""
         # Guards against a new life that pushes over what its last life saw fail, or overspends a limit.
-        for seen in (it for it in event.seen if it.endpoint in self.endpoints):
+        for seen in event.seen:
+            entry = self.members.get(seen.endpoint)
+            if entry is None or entry.state is not State.IN:
+                continue
+            self.awaken(entry.destination)
             endpoint = self.endpoints[seen.endpoint]
             endpoint.cold, endpoint.since_us, endpoint.failed_us = seen.cold, seen.since_us, seen.failed_us
             endpoint.done_us, endpoint.back_us, endpoint.swallows = seen.done_us, seen.back_us, seen.swallows
--- /dev/null
+++ b/stoatusher/membership.py
@@ -0,0 +1,114 @@
+"""Who is listed, where and in what phase: a table that costs little for each endpoint, awake or not.
+
+A row is one string of bytes, which the collector need not look at: of tens of thousands most are never asked
+for between two lists. Nothing here knows of calls, health or limits; what is known of those stands in
+`stoatusher/state.py` while a destination is awake, and in `stoatusher/folding.py` while it sleeps.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable, Iterator
+
+from stoatusher.interface import Entry, State
+
+_ROW = struct.Struct("<qd?")  # destination, rate, whether it drains
+_SEPARATOR = "\0"
+BATCH = 200  # entries that a host applies in one round: about a millisecond
+
+
+def _row(entry: Entry) -> bytes:
+    text = _SEPARATOR.join((entry.zone, entry.kind, entry.where))
+    return _ROW.pack(entry.destination, entry.rate, entry.state is State.DRAINING) + text.encode()
+
+
+def _entry(name: str, row: bytes) -> Entry:
+    destination, rate, drains = _ROW.unpack_from(row)
+    zone, kind, where = row[_ROW.size :].decode().split(_SEPARATOR, 2)
+    return Entry(name, zone, kind, destination, State.DRAINING if drains else State.IN, rate, where)
+
+
+class Members:
+    """All endpoints that a list names, but those that are gone."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, bytes] = {}
+        self._of: dict[int, tuple[str, ...]] = {}  # names at each destination, in the order listed
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._rows
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._rows)
+
+    def get(self, name: str) -> Entry | None:
+        """What the newest list says of an endpoint."""
+        row = self._rows.get(name)
+        return _entry(name, row) if row is not None else None
+
+    def serves(self, destination: int) -> bool:
+        """Whether an endpoint is listed there; one that drains counts until it is gone."""
+        return destination in self._of
+
+    def at(self, destination: int) -> list[Entry]:
+        """Endpoints listed there, in the order listed."""
+        return [_entry(name, self._rows[name]) for name in self._of.get(destination, ())]
+
+    def says(self, entry: Entry) -> bool:
+        """Whether the table has just that already."""
+        return self._rows.get(entry.endpoint) == _row(entry)
+
+    def put(self, entry: Entry) -> None:
+        """List an endpoint, or what has changed of it; one that moves is removed before."""
+        if entry.endpoint not in self._rows:
+            self._of[entry.destination] = (*self._of.get(entry.destination, ()), entry.endpoint)
+        self._rows[entry.endpoint] = _row(entry)
+
+    def remove(self, name: str) -> Entry | None:
+        """Forget an endpoint; what the table said of it."""
+        if (row := self._rows.pop(name, None)) is None:
+            return None
+        entry = _entry(name, row)
+        left = tuple(other for other in self._of[entry.destination] if other != name)
+        if left:
+            self._of[entry.destination] = left
+        else:
+            del self._of[entry.destination]
+        return entry
+
+
+class Comparison:
+    """What a whole list or some news of it changes in the table; nothing is changed until all is read."""
+
+    def __init__(self, members: Members) -> None:
+        self._members = members
+        self._unseen = set(members)
+        self._less: dict[str, Entry] = {}  # what takes an endpoint away, drains it or alters it
+        self._more: dict[str, Entry] = {}  # what adds one
+
+    def add(self, entry: Entry) -> None:
+        """Take one entry in; of several for one endpoint the last counts."""
+        name = entry.endpoint
+        self._unseen.discard(name)
+        self._less.pop(name, None)
+        self._more.pop(name, None)
+        if not self._members.says(entry):
+            away = name in self._members or entry.state is not State.IN
+            (self._less if away else self._more)[name] = entry
+
+    def batches(self, whole: bool) -> Iterator[tuple[Entry, ...]]:
+        """All that changes, in parts for one round each; what drains or is gone comes first."""
+        gone = (Entry(name, "", "", 0, State.GONE, 0.0) for name in self._unseen) if whole else ()
+        drained = [it for it in self._less.values() if it.state is not State.IN]
+        altered = [it for it in self._less.values() if it.state is State.IN]
+        for part in (drained, sorted(gone, key=lambda it: it.endpoint), altered, [*self._more.values()]):
+            yield from _cut(part)
+
+
+def _cut(entries: Iterable[Entry]) -> Iterator[tuple[Entry, ...]]:
+    entries = list(entries)
+    for start in range(0, len(entries), BATCH):
+        yield tuple(entries[start : start + BATCH])
--- a/stoatusher/state.py
+++ b/stoatusher/state.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 
 from stoatusher.account import Account
-from stoatusher.interface import Action, Entry, Listed, ListKind, MessageClass, State, Timer
+from stoatusher.interface import Action, Entry, MessageClass, Seen, Timer
+from stoatusher.membership import Members
 
 NEVER = -(1 << 62)
 
@@ -92,10 +93,15 @@
 class Destination:
     """What waits for one destination, common to its routes' accounts, and its one timer."""
 
+    number: int
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     accounts: dict[str, Account] = field(default_factory=dict)
     waiting: dict[int, Message] = field(default_factory=dict)
     timer_us: int = 0
+    held: int = 0  # messages held for it, and calls out to it
+    used_us: int = NEVER  # when one of those last began or ended
+    look_us: int = NEVER  # when it is next looked at whether it sleeps
+    gone: bool = False  # no endpoint is listed there any more
 
 
 @dataclass(slots=True, eq=False)
@@ -105,8 +111,13 @@
     now: int = 0
     slots_out: int = 0
     actions: list[Action] = field(default_factory=list)
-    destinations: dict[int, Destination] = field(default_factory=dict)
-    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    members: Members = field(default_factory=Members)
+    destinations: dict[int, Destination] = field(default_factory=dict)  # that are awake
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)  # theirs
+    looks: deque[tuple[int, int]] = field(default_factory=deque)  # when each is looked at, and its number
+    folded: dict[int, tuple[int, bytes]] = field(default_factory=dict)  # what is kept of those asleep
+    folded_looks: deque[tuple[int, int]] = field(default_factory=deque)
+    noted: dict[str, Seen] = field(default_factory=dict)  # of theirs, what a next life must know
     messages: dict[int, Message] = field(default_factory=dict)
     calls: dict[tuple[int, int], tuple[Message, Call]] = field(default_factory=dict)
     probes: dict[str, Call] = field(default_factory=dict)
@@ -138,6 +149,8 @@
         endpoint.account.reserved[call] = None
         endpoint.starts.append(self.now)
         endpoint.out += 1
+        to = self.destinations[endpoint.entry.destination]
+        to.held, to.used_us = to.held + 1, self.now
         self.slots_out += slot
         if endpoint.idle:
             endpoint.idle.pop()
@@ -146,6 +159,8 @@
     def end_call(self, call: Call, reusable: bool) -> None:
         """Free what a call held; its connection idles if it is still good."""
         call.endpoint.out -= 1
+        to = self.destinations[call.endpoint.entry.destination]
+        to.held, to.used_us = to.held - 1, self.now
         if reusable:
             call.endpoint.idle.append(self.now)
             self.rested[call.endpoint] = None
@@ -153,25 +168,27 @@
         self.touched.update(self.starved)
         self.starved = {}
 
-    def unlist(self, news: Listed) -> None:
-        """Forget endpoints that a piece of news takes off the list."""
-        inside = {entry.endpoint for entry in news.entries if entry.state is State.IN}
-        told = (entry.endpoint for entry in news.entries) if news.kind is ListKind.PATCH else self.endpoints
-        for name in [name for name in dict.fromkeys(told) if name in self.endpoints and name not in inside]:
-            to = self.destinations[self.endpoints.pop(name).entry.destination]
+    def leave(self, name: str) -> None:
+        """Forget what is known of an endpoint that wants nothing new."""
+        if (endpoint := self.endpoints.pop(name, None)) is not None:
+            to = self.destinations[endpoint.entry.destination]
             del to.endpoints[name]
             to.accounts.pop(name, None)  # a route's account goes with it, a shared one keeps what it learned
 
     def hold(self, message: Message) -> None:
         """Keep a message that was taken; it waits at the end of its key's lane."""
-        self.messages[message.ref] = message.destination.waiting[message.ref] = message
+        to = message.destination
+        self.messages[message.ref] = to.waiting[message.ref] = message
+        to.held, to.used_us = to.held + 1, self.now
         if message.key is not None:
             self.lanes.setdefault(message.key, []).append(message)
-        self.touched[message.destination] = None
+        self.touched[to] = None
 
     def drop(self, message: Message) -> None:
         """Forget a message that has ended; its key passes on once none of its attempts is out."""
-        self.messages.pop(message.ref, None)
+        if self.messages.pop(message.ref, None) is not None:
+            message.destination.held -= 1
+            message.destination.used_us = self.now
         message.destination.waiting.pop(message.ref, None)
         if not message.out:
             self.touched.update((other.destination, None) for other in self.leave_lane(message))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
 from stoatusher import interface as api
 from stoatusher.decide import Sender
 from stoatusher.settings import read_settings
+from stoatusher.state import Endpoint
 
 hypothesis_settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=60)
 hypothesis_settings.load_profile("fixed")
@@ -122,6 +123,13 @@
         entries = tuple(api.Entry(name, zone, kind, 1, api.State.IN, rate) for name in endpoints)
         self.step(api.Listed(api.ListKind.PATCH, entries))
 
+    def endpoint(self, name: str) -> Endpoint:
+        """The record of an endpoint; its destination is woken for it."""
+        entry = self.sender.members.get(name)
+        assert entry is not None
+        self.sender.awaken(entry.destination)
+        return self.sender.endpoints[name]
+
     def take(
         self, message_class: str = "safe", key: str | None = None, tenant: str | None = None
     ) -> api.Taken:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -122,7 +122,7 @@
     relay.listed("a")
     relay.step(relay.take())
     relay.step(api.Outcome(1, 0, "a", Result.DONE, True, 1, 0, (0.5, 3.0)))
-    assert relay.sender.endpoints["a"].account.rate == 3.0
+    assert relay.endpoint("a").account.rate == 3.0
 
 
 def test_a_learned_m_below_one_stretches_w_and_rises_by_its_own_windows() -> None:
@@ -152,8 +152,8 @@
     relay = Relay(Weights="nominal")
     relay.listed("a", rate=4.0)
     relay.listed("a", rate=9.0)
-    assert relay.sender.endpoints["a"].account.rate == 9.0
-    assert relay.sender.endpoints["a"].entry.rate == 9.0
+    assert relay.endpoint("a").account.rate == 9.0
+    assert relay.endpoint("a").entry.rate == 9.0
 
 
 def test_nothing_grows_with_the_length_of_a_relays_life() -> None:
@@ -167,9 +167,12 @@
         relay.step(api.Listed(api.ListKind.PATCH, (gone,)))
     relay.advance(relay.now + 20 * SECOND)
     sender = relay.sender
-    for kept in (sender.timers, sender.lanes, sender.rests, sender.endpoints, sender.messages, sender.calls):
+    for kept in (
+        sender.timers, sender.lanes, sender.rests, sender.endpoints, sender.messages, sender.calls,
+        sender.destinations, sender.folded, sender.noted,
+    ):  # fmt: skip
         assert kept == {}
-    assert not sender.destinations[1].accounts
+    assert len(sender.members) == 0
 
 
 def test_relays_that_fail_together_do_not_come_back_together() -> None:
@@ -180,7 +183,7 @@
         relay.listed("a")
         relay.step(relay.take())
         relay.answer(1, 0, Result.REFUSED, wait_us=5 * SECOND)
-        spreads.add(relay.sender.endpoints["a"].spread)
+        spreads.add(relay.endpoint("a").spread)
     assert len(spreads) == 5
 
 
@@ -190,7 +193,7 @@
     for _ in range(8):
         relay.step(relay.take())
     assert len(relay.sent) == 8
-    account = relay.sender.endpoints["a"].account
+    account = relay.endpoint("a").account
     relay.now += 100_000
     relay.answer(1, 0, api.Result.REFUSED)
     learned = account.learned
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -165,7 +165,7 @@
         it.answer(ref, 0, Result.SPOILT)
         it.now += 1_000_000
     assert len(it.sent) == 8  # nothing was held back
-    assert not it.sender.endpoints["a"].cold
+    assert not it.endpoint("a").cold
 
 
 @pytest.mark.parametrize("text", ["x0=nan", "x0=inf", "x0=-1", "x0=1,x0=", "\xb2"])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -147,7 +147,7 @@
         relay.step(relay.take("unsafe"))
         relay.answer(ref, 0, Result.RESET)
         relay.now += 4 * SECOND
-    assert relay.sender.endpoints["a"].cold
+    assert relay.endpoint("a").cold
     assert not relay.sender.messages
 
 
@@ -169,7 +169,7 @@
 def test_a_success_opens_the_bound_step_by_step_until_warm() -> None:
     relay = Relay(Weights="nominal")
     down(relay)
-    endpoint = relay.sender.endpoints["a"]
+    endpoint = relay.endpoint("a")
     assert endpoint.cold
     relay.now += 3 * SECOND
     relay.step(relay.take())
@@ -185,7 +185,7 @@
 def test_a_long_told_wait_looks_like_a_shut_destination_and_refusals_alone_do_not() -> None:
     relay = Relay()
     relay.listed("a")
-    endpoint = relay.sender.endpoints["a"]
+    endpoint = relay.endpoint("a")
     relay.step(relay.take())
     for attempt in range(4):
         relay.answer(1, attempt, Result.REFUSED)
@@ -251,7 +251,7 @@
     relay.now += SECOND // 10
     relay.answer(1, 0)
     relay.answer(2, 0, Result.UNCONNECTED)
-    endpoint = relay.sender.endpoints["a"]
+    endpoint = relay.endpoint("a")
     assert not endpoint.cold
     assert endpoint.table == 1
     relay.step(*(relay.take() for _ in range(4)))
@@ -339,13 +339,13 @@
         relay.now += 1 + number
         relay.answer(first.ref, 0)
         relay.answer(second.ref, 0, Result.TIMED_OUT)
-    assert not relay.sender.endpoints["a"].cold
+    assert not relay.endpoint("a").cold
 
 
 def test_errors_between_answers_are_no_outage_but_most_calls_failing_are() -> None:
     relay = Relay()
     relay.listed("a")
-    endpoint = relay.sender.endpoints["a"]
+    endpoint = relay.endpoint("a")
     for result in [Result.ERROR, Result.DONE, Result.RESET, Result.DONE, Result.DONE] * 3:
         message = relay.take("unsafe")
         relay.step(message)
@@ -375,6 +375,6 @@
     relay.listed("a")
     relay.step(relay.take())
     relay.answer(1, 0, Result.UNCONNECTED)
-    assert not relay.sender.endpoints["a"].cold
+    assert not relay.endpoint("a").cold
     assert not of(relay.advance(relay.now + SECOND), api.Send)
     assert of(relay.advance(relay.now + 4 * SECOND), api.Send)
