Wake many destinations at once: few calls until one is delivered, slots go round

Change: four calls at most go out at once to an endpoint that has delivered nothing lately; of those that wait for a slot 64 are weighed against each other, in turns. A stand-in crowd of 50,000 endpoints on few listeners, and a benchmark of memory, CPU, whole lists and the event.

--- /dev/null
+++ b/amberlug/standin/crowd.py
@@ -0,0 +1,231 @@
+"""Tens of thousands of stand-in endpoints in one process, and clients fast enough to wake many at once.
+
+Endpoints share a few listeners on loopback, so that descriptors are taken by calls, not by endpoints: which
+endpoint a call is for is told by its message's name, `<destination>-<anything>`. Reading and writing is as
+plain as can be, since this side must not be what is slow.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+BODY = b"x" * 300
+PASSING = 0.1  # seconds after a wait was told in which calls were already on their way
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+class Mood(Enum):
+    """How an endpoint of the crowd answers."""
+
+    WELL = "well"
+    SLOW = "slow"  # after the crowd's `slow` seconds
+    REFUSES = "refuses"  # the first call, with a wait
+    SILENT = "silent"  # never
+    DEAD = "dead"  # the connection is reset
+
+
+@dataclass(slots=True)
+class Called:
+    """What one destination has seen; times by the loop's clock, in seconds."""
+
+    first: float = 0.0
+    calls: int = 0
+    out: int = 0
+    most: int = 0  # calls out at once
+    told: float = 0.0  # when the last wait was
+    wait_until: float = 0.0
+    early: int = 0  # calls that came before a told wait was over
+
+
+@dataclass(slots=True)
+class Crowd:
+    """Endpoints of destinations 0 to `size` - 1, on `listeners` ports of 127.0.0.1.
+
+    `mood` tells how a destination answers; `gone` are those to which nothing may be sent any more.
+    """
+
+    size: int
+    mood: Callable[[int], Mood] = lambda destination: Mood.WELL
+    listeners: int = 16
+    quick: float = 0.02  # seconds to an answer
+    slow: float = 1.5
+    wait_ms: int = 1500
+    called: dict[int, Called] = field(default_factory=dict)
+    delivered: dict[str, float] = field(default_factory=dict)  # when, by name
+    gone: set[int] = field(default_factory=set)
+    late: int = 0  # calls to what is gone
+    _servers: list[asyncio.Server] = field(default_factory=list)
+    _ports: list[int] = field(default_factory=list)
+
+    async def start(self) -> Crowd:
+        loop = asyncio.get_running_loop()
+        for _ in range(self.listeners):
+            server = await loop.create_server(lambda: _Served(self), "127.0.0.1", 0, backlog=1024)
+            self._servers.append(server)
+            self._ports.append(server.sockets[0].getsockname()[1])
+        return self
+
+    async def stop(self) -> None:
+        for server in self._servers:
+            server.close()
+
+    def member(self, destination: int, phase: str = "in_service", life: int = 0) -> dict[str, Any]:
+        """An endpoint as discovery lists it; each `life` has an id of its own."""
+        port = self._ports[destination % self.listeners]
+        return {
+            "id": f"s-{destination:06x}-{life}", "host_port": f"127.0.0.1:{port}",
+            "locality": "a", "flavor": "plain", "cell": destination, "phase": phase, "size": 0.0,
+            "up_since_ms": 0,
+        }  # fmt: skip
+
+    def members(self, destinations: Iterable[int], life: int = 0) -> list[dict[str, Any]]:
+        return [self.member(destination, life=life) for destination in destinations]
+
+    def call(self, name: str, served: _Served) -> None:
+        """Take a call in, and answer it as its destination's mood says."""
+        loop = asyncio.get_running_loop()
+        now, destination = loop.time(), int(name.partition("-")[0])
+        it = self.called.setdefault(destination, Called(now))
+        it.calls, it.out = it.calls + 1, it.out + 1
+        it.most = max(it.most, it.out)
+        it.early += now < it.wait_until and now > it.told + PASSING
+        self.late += destination in self.gone
+        mood = self.mood(destination)
+        if mood is Mood.DEAD:
+            it.out -= 1
+            served.abort()
+        elif mood is Mood.REFUSES and it.calls == 1:
+            it.told = now + self.quick
+            it.wait_until = it.told + self.wait_ms / 1000
+            head = f"HTTP/1.1 429 Later\r\nWait-Ms: {self.wait_ms}\r\nContent-Length: 0\r\n\r\n"
+            loop.call_later(self.quick, self._answer, it, served, None, head.encode())
+        elif mood is not Mood.SILENT:
+            seconds = self.slow if mood is Mood.SLOW else self.quick
+            loop.call_later(seconds, self._answer, it, served, name, OK)
+
+    def _answer(self, it: Called, served: _Served, name: str | None, answer: bytes) -> None:
+        it.out -= 1
+        if served.write(answer) and name is not None:
+            self.delivered[name] = asyncio.get_running_loop().time()
+
+
+class _Served(asyncio.Protocol):
+    """One connection to the crowd."""
+
+    def __init__(self, crowd: Crowd) -> None:
+        self._crowd, self._rest = crowd, b""
+        self._open = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport, self._open = transport, True
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._open = False
+
+    def abort(self) -> None:
+        self._transport.abort()
+
+    def write(self, data: bytes) -> bool:
+        """Write, if there is still somebody to read it."""
+        if self._open:
+            self._transport.write(data)
+        return self._open
+
+    def data_received(self, data: bytes) -> None:
+        self._rest += data
+        while self._open and (found := _request(self._rest)) is not None:
+            name, self._rest = found
+            self._crowd.call(name, self)
+
+
+def _request(data: bytes) -> tuple[str, bytes] | None:
+    """The name in a whole request, and what follows it."""
+    head, end, rest = data.partition(b"\r\n\r\n")
+    if not end:
+        return None
+    headers = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+    length = int(headers.get(b"content-length", b"0"))
+    return (headers[b"req-id"].decode(), rest[length:]) if len(rest) >= length else None
+
+
+@dataclass(slots=True)
+class Told:
+    """How a hand-in was answered: when it was first made, its status, and how often it was made."""
+
+    made: float
+    message_class: str
+    deadline: float  # seconds from when it was made
+    status: int = 0
+    times: int = 0
+
+
+class Client(asyncio.Protocol):
+    """One kept connection of a client; what is refused comes again when it was told to."""
+
+    def __init__(self, told: dict[str, Told]) -> None:
+        self._told, self._rest = told, b""
+        self._asked: list[tuple[str, bytes]] = []
+        self._ready = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport, self._ready = transport, True
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._ready = False
+
+    def hand_in(self, name: str, message_class: str, deadline: float) -> None:
+        """Hand a message in after those before it, and again when told to; `deadline` in seconds."""
+        self._told[name] = Told(asyncio.get_running_loop().time(), message_class, deadline)
+        self._ask(name)
+
+    def _ask(self, name: str) -> None:
+        told = self._told[name]
+        left_ms = int((told.made + told.deadline - asyncio.get_running_loop().time()) * 1000)
+        if left_ms < 1 or not self._ready:
+            return
+        told.times += 1
+        head = (
+            f"POST /{told.message_class} HTTP/1.1\r\nHost: relay\r\nReq-Id: {name}\r\n"
+            f"Req-Kind: {told.message_class}\r\nReq-Deadline-Ms: {left_ms}\r\n"
+            f"Envelope: dest={name.partition('-')[0]}\r\nIdempotency-Key: k-{name}\r\n"
+            f"Content-Length: {len(BODY)}\r\n\r\n"
+        )
+        self._asked.append((name, head.encode() + BODY))
+        if len(self._asked) == 1:
+            self._transport.write(self._asked[0][1])
+
+    def data_received(self, data: bytes) -> None:
+        self._rest += data
+        while self._asked and (found := _response(self._rest)) is not None:
+            status, again, self._rest = found
+            name, _ = self._asked.pop(0)
+            self._told[name].status = status
+            if status in (429, 503):
+                asyncio.get_running_loop().call_later(again, self._ask, name)
+            if self._asked:
+                self._transport.write(self._asked[0][1])
+
+
+def _response(data: bytes) -> tuple[int, float, bytes] | None:
+    """Status of a whole answer, seconds to come again after, and what follows it."""
+    head, end, rest = data.partition(b"\r\n\r\n")
+    if not end:
+        return None
+    first, *lines = head.lower().split(b"\r\n")
+    headers = dict(line.split(b": ", 1) for line in lines)
+    length = int(headers.get(b"content-length", b"0"))
+    if len(rest) < length:
+        return None
+    return int(first.split()[1]), float(headers.get(b"retry-after", b"1")), rest[length:]
+
+
+def ends(told: Iterable[Told]) -> Counter[int]:
+    """How many hand-ins were answered with each status."""
+    return Counter(it.status for it in told)
--- /dev/null
+++ b/benchmarks/sleeping.py
@@ -0,0 +1,259 @@
+"""Tens of thousands of destinations, most asleep: memory, start, CPU, whole lists, many that wake at once."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from amberlug.standin.crowd import Client, Crowd, Mood, Told, ends
+from amberlug.standin.deployment import settings
+from amberlug.standin.wire import PATIENCE, Platform
+from benchmarks.cost import ROOT, cpu_seconds, free_port
+
+PAGE = os.sysconf("SC_PAGE_SIZE")
+BUSY = 20  # destinations that are busy throughout
+
+
+def line(members: list[dict[str, Any]], revision: int, complete: bool = True) -> str:
+    return json.dumps({"revision": revision, "complete": complete, "members": members})
+
+
+def resident(pid: int) -> float:
+    """Memory that a process holds now, in MB."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE / 1e6
+
+
+class Daemon:
+    """The relay with so many endpoints in its configuration."""
+
+    def __init__(self, folder: Path, crowd: Crowd, listed: int, platform: Platform) -> None:
+        self._folder, self._crowd, self._listed, self._platform = folder, crowd, listed, platform
+        self.port = free_port()
+
+    async def __aenter__(self) -> Daemon:
+        table = settings()
+        table["FamilyInfo"]["Slots"] = 300
+        table["Bounds"]["MaxOpen"] = 4000
+        state, path = self._folder / "state", self._folder / "config.json"
+        state.mkdir()
+        known = {"revision": 1, "complete": True, "members": self._crowd.members(range(self._listed))}
+        path.write_text(json.dumps({
+            "name": "sleeping", "seed": "1", "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{self._platform.port}", "settings": table, "known": known,
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1024, "disk_mb": 16},
+        }))  # fmt: skip
+        variables = os.environ | {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(state)}
+        start = time.perf_counter()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "amberlug", "serve", cwd=ROOT, env=variables, stderr=asyncio.subprocess.PIPE
+        )
+        assert self.process.stderr is not None
+        async with asyncio.timeout(PATIENCE):
+            while b"ready on" not in (said := await self.process.stderr.readline()):
+                assert said, "the relay ended before it was ready"
+        self.started = time.perf_counter() - start
+        self._log = asyncio.ensure_future(self.process.stderr.read())
+        await self._platform.watched(len(self._platform.watches) or 1)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.process.kill()
+        await self.process.wait()
+
+    @property
+    def cpu(self) -> float:
+        return cpu_seconds(self.process.pid)
+
+    @property
+    def memory(self) -> float:
+        return resident(self.process.pid)
+
+    async def clients(self, count: int, told: dict[str, Told]) -> list[Client]:
+        loop = asyncio.get_running_loop()
+        made = [
+            await loop.create_connection(lambda: Client(told), "127.0.0.1", self.port) for _ in range(count)
+        ]
+        return [client for _, client in made]
+
+
+async def paced(rate: float, seconds: float, hand_in: Callable[[int], None]) -> None:
+    """Hand in at a steady pace, whatever comes of it."""
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    for count in range(int(rate * seconds)):
+        await asyncio.sleep(max(0.0, start + count / rate - loop.time()))
+        hand_in(count)
+
+
+async def with_daemon(listed: int, crowd: Crowd, work: Callable[[Daemon], Awaitable[None]]) -> None:
+    platform = Platform()
+    await platform.start()
+    await crowd.start()
+    with tempfile.TemporaryDirectory() as folder:
+        async with Daemon(Path(folder), crowd, listed, platform) as daemon:
+            daemon.platform = platform  # type: ignore[attr-defined]
+            await work(daemon)
+    await crowd.stop()
+    await platform.stop()
+
+
+async def cost(listed: int, seconds: float) -> tuple[float, float, float]:
+    """CPU a message in us, memory in MB and seconds to ready, with so many listed and 100 called."""
+    found: list[tuple[float, float, float]] = []
+
+    async def work(daemon: Daemon) -> None:
+        told: dict[str, Told] = {}
+        clients = await daemon.clients(8, told)
+        memory = daemon.memory
+
+        def hand_in(count: int) -> None:
+            clients[count % 8].hand_in(f"{count % 100}-{count}", "result", 4.0)
+
+        await paced(200, 1.0, lambda count: hand_in(count + 10**6))
+        before, start = len(crowd.delivered), daemon.cpu
+        await paced(200, seconds, hand_in)
+        await asyncio.sleep(0.5)
+        found.append(((daemon.cpu - start) / (len(crowd.delivered) - before) * 1e6, memory, daemon.started))
+
+    crowd = Crowd(max(listed, 100))
+    await with_daemon(listed, crowd, work)
+    return found[0]
+
+
+async def whole_list(listed: int, share: float) -> None:
+    """Replace a share of all endpoints in one list, under load: hold-ups, memory, calls to what is gone."""
+    crowd = Crowd(listed)
+
+    async def work(daemon: Daemon) -> None:
+        told: dict[str, Told] = {}
+        clients, loop = await daemon.clients(9, told), asyncio.get_running_loop()
+        waits: list[tuple[float, float]] = []
+        stop = False
+
+        async def look() -> None:
+            """Hand in every 5 ms on a connection of its own; how long each answer took."""
+            count = 0
+            while not stop:
+                start, name = loop.time(), f"{count % BUSY}-look{count}"
+                clients[8].hand_in(name, "result", 4.0)
+                while not told[name].status:
+                    await asyncio.sleep(0.0005)
+                waits.append((start, loop.time() - start))
+                count += 1
+                await asyncio.sleep(0.005)
+
+        looking = asyncio.ensure_future(look())
+        load = asyncio.ensure_future(
+            paced(
+                100, 6.0, lambda count: clients[count % 8].hand_in(f"{count % BUSY}-{count}", "result", 4.0)
+            )
+        )
+        await asyncio.sleep(2.0)
+        kept = int(listed * (1 - share))
+        members = crowd.members(range(kept)) + crowd.members(range(kept, listed), life=1)
+        told_at = loop.time()
+        daemon.platform.tell(line(members, 2).encode())  # type: ignore[attr-defined]
+        peak, memory = 0.0, daemon.memory
+        while loop.time() < told_at + 4.0:
+            peak = max(peak, daemon.memory)
+            await asyncio.sleep(0.02)
+        stop = True
+        await asyncio.gather(looking, load)
+        quiet = sorted(wait for at, wait in waits if at < told_at)
+        during = sorted(wait for at, wait in waits if at >= told_at)
+        print(
+            f"a whole list of {listed}, {share:.0%} replaced: an answer to a hand-in takes median "
+            f"{statistics.median(quiet) * 1e3:.1f}, most {quiet[-1] * 1e3:.1f} ms before; median "
+            f"{statistics.median(during) * 1e3:.1f}, p99 {during[int(len(during) * 0.99)] * 1e3:.1f}, most "
+            f"{during[-1] * 1e3:.1f} ms while it is applied; memory {memory:.0f}, peak {peak:.0f}, "
+            f"after it {daemon.memory:.0f} MB"
+        )
+
+    await with_daemon(listed, crowd, work)
+
+
+async def event(listed: int, woken: int, each: int, bad: bool) -> None:
+    """Wake many at once while the busy go on: first calls, the busy ones' aims, memory."""
+    moods = [Mood.WELL, Mood.SLOW, Mood.WELL, Mood.REFUSES, Mood.WELL, Mood.DEAD, Mood.WELL, Mood.SILENT]
+    crowd = Crowd(listed, lambda number: moods[number % 8] if bad and number >= BUSY else Mood.WELL)
+
+    async def work(daemon: Daemon) -> None:
+        told: dict[str, Told] = {}
+        busy, loop, memory = await daemon.clients(10, told), asyncio.get_running_loop(), daemon.memory
+        going_on = asyncio.ensure_future(
+            paced(
+                100, 20.0, lambda count: busy[count % 10].hand_in(f"{count % BUSY}-b{count}", "payment", 4.0)
+            )
+        )
+        await asyncio.sleep(4.0)
+        crowding = await daemon.clients(50, told)  # an idle connection would have been closed by now
+        woken_at = loop.time()
+
+        def wake(count: int) -> None:
+            crowding[count % 50].hand_in(f"{BUSY + count % woken}-w{count}", "result", 15.0)
+
+        await paced(woken * each / 2.0, 2.0, wake)
+        peak = 0.0
+        while loop.time() < woken_at + 16.0:
+            peak = max(peak, daemon.memory)
+            await asyncio.sleep(0.05)
+        await going_on
+        await asyncio.sleep(1.0)
+        firsts = sorted(
+            it.first - min(told[f"{number}-w{number - BUSY}"].made, it.first)
+            for number, it in crowd.called.items()
+            if number >= BUSY
+        )
+        names = [name for name in told if "-b" in name]
+        took = [crowd.delivered[name] - told[name].made for name in names if name in crowd.delivered]
+        kept = sum(wait <= 1.0 for wait in took) / len(names)
+        print(
+            f"{woken} woken with {each} each in 2 s{', half of them slow, refusing, dead or silent' * bad}: "
+            f"first calls to {len(firsts)}, after median {statistics.median(firsts):.2f}, "
+            f"p99 {firsts[int(len(firsts) * 0.99)]:.2f}, most {firsts[-1]:.2f} s; "
+            f"{kept:.1%} of {len(names)} for the busy kept their aim; "
+            f"memory {memory:.0f}, peak {peak:.0f} MB; "
+            f"delivered {sum('-w' in name for name in crowd.delivered)} of {woken * each} to the woken; "
+            f"calls before a told wait was over: {sum(it.early for it in crowd.called.values())}; "
+            f"answers {dict(ends(told.values()))}"
+        )
+
+    await with_daemon(listed, crowd, work)
+
+
+async def main(options: argparse.Namespace) -> None:
+    base, memories, starts = [], [], []
+    for _ in range(options.turns):
+        few, many = await cost(100, options.seconds), await cost(options.listed, options.seconds)
+        base.append(many[0] / few[0])
+        memories.append((many[1] - few[1]) * 1e6 / (options.listed - 100))
+        starts.append((few[2], many[2]))
+        print(f"100 listed: {few[0]:.0f} us a message, {few[1]:.1f} MB, ready in {few[2]:.2f} s")
+        print(
+            f"{options.listed} listed: {many[0]:.0f} us a message, {many[1]:.1f} MB, ready in {many[2]:.2f} s"
+        )
+    print(
+        f"CPU a message, {options.listed} listed of 100 listed: median {statistics.median(base):.2f} "
+        f"({min(base):.2f} to {max(base):.2f}); {statistics.median(memories):.0f} bytes a sleeping endpoint"
+    )
+    await whole_list(options.listed, 0.58)
+    await event(options.listed, options.woken, 5, bad=False)
+    await event(options.listed, options.woken, 5, bad=True)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listed", type=int, default=50_000)
+    parser.add_argument("--woken", type=int, default=2_000)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--turns", type=int, default=3)
+    asyncio.run(main(parser.parse_args()))
--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -13,7 +13,7 @@
 from stoatusher import interface as api
 from stoatusher.account import FIRST_GUESS_US, OPEN, SECOND, SLOT_SHARE
 from stoatusher.interface import Effect, Group, ListKind, Result
-from stoatusher.state import Call, Destination, Endpoint, Message
+from stoatusher.state import TURNS, Call, Destination, Endpoint, Message
 from stoatusher.waking import Awake
 
 RATE_NOISE = 0.3  # a reported limit this far from the one in use replaces it; nearer is noise
@@ -29,6 +29,8 @@
 SPREAD = 0.7, 1.3  # drawn part of that window: relays that fail together must not come back together
 LEAST_TABLE = 4  # connections that a small table is taken to hold for relays that keep theirs
 REUSES = 2  # so many calls within the time that an idle connection lives make it worth keeping
+FEW = 4  # calls out at once to an endpoint that has delivered nothing lately; more may all be lost at once
+LATELY_US = 60 * SECOND
 HOLD, MAKE_ROOM = 0.95, 100  # above this share of MaxOpen it refuses the least, one in so many: ranking costs
 ASK_AGAIN_US = SECOND // 2  # first pause before asking the list again, doubled up to a quarter of AskWithin
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMED_OUT, Result.RESET, Result.CALLED_OFF, Result.SPOILT)
@@ -297,7 +299,10 @@
         for endpoint in destination.endpoints.values():
             endpoint.forget_idle(self.now - self.settings.idle_us)
             full = not endpoint.idle and self.now < endpoint.table_until and endpoint.out >= endpoint.table
-            if not full and not endpoint.account.crowded(self.now):
+            # Guards against slots that many woken at once hold, of which some are slow, silent or dead. It
+            # harms one that is well and slow: its second message waits for the first one's answer.
+            unsure = endpoint.out >= FEW and endpoint.done_us < self.now - LATELY_US
+            if not (full or unsure or endpoint.account.crowded(self.now)):
                 yield endpoint, max(endpoint.account.opening(self.now), self.cold_opening(endpoint))
 
     def serve(self, destination: Destination) -> None:
@@ -323,6 +328,8 @@
 
     def free_slots(self, destination: Destination) -> None:
         self.starved[destination] = None
+        if len(self.starved) > TURNS:
+            return  # those before it see to it, and slots go round
         # With all slots taken, call off what is overdue, or hung calls keep them. Harms slow unsafe ones.
         due = {key: it.start_us + it.endpoint.account.patience_us() for key, (_, it) in self.calls.items()}
         late = [key for key, at_us in due.items() if at_us <= self.now and self.settings.may_cancel]
--- a/stoatusher/state.py
+++ b/stoatusher/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -12,6 +12,7 @@
 from stoatusher.membership import Members
 
 NEVER = -(1 << 62)
+TURNS = 64  # of those that wait for a slot, so many are weighed against each other at once: a turn each
 
 
 @dataclass(slots=True, eq=False)
@@ -124,7 +125,7 @@
     touched: dict[Destination, None] = field(default_factory=dict)  # to be served in this round
     small_tables: set[str] = field(default_factory=set)  # kinds where a connection was not to be had
     rested: dict[Endpoint, None] = field(default_factory=dict)  # had a connection come free in this round
-    starved: dict[Destination, None] = field(default_factory=dict)  # wait for a slot
+    starved: OrderedDict[Destination, None] = field(default_factory=OrderedDict)  # wait for a slot
     timers: dict[int, Message | int | None] = field(default_factory=dict)
     labels: Iterator[int] = field(default_factory=itertools.count)
     lanes: dict[str, list[Message]] = field(default_factory=dict)  # of each key, in the order taken
@@ -165,8 +166,8 @@
             call.endpoint.idle.append(self.now)
             self.rested[call.endpoint] = None
         self.slots_out -= call.slot
-        self.touched.update(self.starved)
-        self.starved = {}
+        for _ in range(min(TURNS, len(self.starved))):
+            self.touched[self.starved.popitem(last=False)[0]] = None
 
     def leave(self, name: str) -> None:
         """Forget what is known of an endpoint that wants nothing new."""
--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -12,9 +12,11 @@
 from stoatusher import folding
 from stoatusher import interface as api
 from stoatusher.account import FIRST_GUESS_US
+from stoatusher.decide import FEW
 from stoatusher.interface import Result, State
 from stoatusher.lasting import LastingSender
 from stoatusher.settings import read_settings
+from stoatusher.state import TURNS
 from tests.conftest import SECOND, Relay, of, setup
 
 HOUR = 3600 * SECOND
@@ -323,3 +325,34 @@
         sender.folded_looks, sender.timers, sender.touched,
     ):  # fmt: skip
         assert len(kept) <= 40, kept
+
+
+def test_few_calls_go_to_what_woke_until_one_is_delivered() -> None:
+    relay = Relay(FamilyInfo__Slots=100, Bounds__MaxOpen=200)
+    relay.listed("a")
+    assert len(of(relay.step(*(relay.take() for _ in range(20))), api.Send)) == FEW
+    assert not of(relay.answer(1, 0, Result.UNSENT), api.Send)[1:]  # in its place one more
+    assert len(of(relay.answer(2, 0), api.Send)) == 20 - FEW  # all but the two that were answered are out
+    for ref in range(3, 21):
+        relay.answer(ref, 0)
+    asleep(relay, HOUR)
+    assert len(of(relay.step(*(relay.take() for _ in range(20))), api.Send)) == FEW
+
+
+def test_slots_go_round_among_many_that_wait_for_one() -> None:
+    relay = Relay(FamilyInfo__Slots=4, Bounds__MaxOpen=5000)
+    many = 4 * TURNS
+    new = (api.Entry(f"a{n}", "north", "plain", n, State.IN, 1.0) for n in range(many))
+    relay.step(api.Listed(api.ListKind.PATCH, tuple(new)))
+    refs = {n: [next(relay.refs) for _ in range(3)] for n in range(many)}
+    number = {ref: n for n, own in refs.items() for ref in own}
+    relay.step(*(api.Taken(ref, number[ref], "safe", None, None, 10 * SECOND) for ref in number))
+    called: list[int] = []
+    while len(called) < many:
+        relay.now += 1000
+        ref, attempt, send, _ = relay.sent[len(called)]
+        called.append(number[ref])
+        relay.step(api.Outcome(ref, attempt, send.endpoint, Result.DONE, True, 1000, 0, ()))
+    # One that has just woken does not wait until all messages of those before it are gone.
+    assert len(set(called)) > many * 0.3
+    assert len(relay.sender.starved) > TURNS
