--- a/amberlug/core/listing.py
+++ b/amberlug/core/listing.py
@@ -56,12 +56,19 @@
     """Read an object of discovery's, whose members may have been read already; `ValueError` if malformed."""
     try:
         members = (it if isinstance(it, Entry) else entry_of(it) for it in data["members"])
-        entries = iter([_checked(entry, kinds) for entry in members])  # lets go of what has been read through
-        return News(entries, int(data["revision"]), bool(data["complete"]))
+        entries = [_checked(entry, kinds) for entry in members]
+        return News(_used_up(entries), int(data["revision"]), bool(data["complete"]))
     except _MALFORMED as error:
         raise ValueError(f"malformed list: {error!r}") from None
 
 
+def _used_up(entries: list[Entry]) -> Iterator[Entry]:
+    """Let go of each entry as it is read: what is made of them takes their place."""
+    entries.reverse()
+    while entries:
+        yield entries.pop()
+
+
 def compact(item: dict[str, Any]) -> Any:
     """Read what looks like a member as soon as JSON's reader has it: less is held at once."""
     if "host_port" not in item:
--- a/stoatusher/membership.py
+++ b/stoatusher/membership.py
@@ -9,7 +9,6 @@
 
 import struct
 from collections.abc import Callable, Iterator
-from itertools import islice
 from typing import TypeVar
 
 from stoatusher.interface import Entry, State
@@ -69,9 +68,12 @@
         was = self.get(entry.endpoint)
         if was is not None and (was.state is not entry.state or was.destination != entry.destination):
             self.remove(entry.endpoint)
-        if entry.endpoint not in self._rows:
-            self._of[entry.destination] = (*self._of.get(entry.destination, ()), entry.endpoint)
-        self._rows[entry.endpoint] = _row(entry)
+        name = entry.endpoint
+        if name not in self._rows:
+            # A copy: what is kept must not hold pages of all that was made to read a long list.
+            name = name.encode().decode()
+            self._of[entry.destination] = (*self._of.get(entry.destination, ()), name)
+        self._rows[name] = _row(entry)
 
     def remove(self, name: str) -> Entry | None:
         """Forget an endpoint; what the table said of it."""
@@ -127,6 +129,8 @@
 
 
 def _cut(part: dict[str, T], make: Callable[[str, T], Entry]) -> Iterator[tuple[Entry, ...]]:
-    items = iter(part.items())
-    while batch := tuple(make(name, row) for name, row in islice(items, BATCH)):
-        yield batch
+    # Used up as it goes, the first to come first: the table's rows take the place of those here.
+    left = dict(reversed(part.items()))
+    part.clear()
+    while left:
+        yield tuple(make(*left.popitem()) for _ in range(min(BATCH, len(left))))
