--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -146,18 +146,10 @@
         if len(self.messages) > self.settings.max_open * HOLD:
             # Holding nears its limit: refuse what has least worth to be had, where that is harmless.
             able = [other for other in self.messages.values() if not other.out and may_refuse(other)]
-            able.sort(key=self.hope)
+            able.sort(key=lambda other: other.worth_at(self.now, self.settings.halving))
             for least in able[: 1 + self.settings.max_open // MAKE_ROOM]:
                 self.finish(least)
 
-    def hope(self, message: Message) -> float:
-        """Worth of a message, parted among those held with it where nothing has been delivered lately."""
-        # Guards against room that is taken by what can't be sent now, of many woken at once. It harms the
-        # second message of one that has just woken and is well, while there is no room.
-        to, late = message.destination, self.now - LATELY_US
-        proven = any(endpoint.done_us >= late for endpoint in to.endpoints.values())
-        return message.worth_at(self.now, self.settings.halving) / (1 if proven else to.held)
-
     def share(self, tenant: str | None) -> float:
         """Worth of a tenant's message: full in this relay's part of its quota, saved for a second at most."""
         if tenant is None or tenant not in self.shares:
