--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -356,3 +356,18 @@
     # One that has just woken does not wait until all messages of those before it are gone.
     assert len(set(called)) > many * 0.3
     assert len(relay.sender.starved) > TURNS
+
+
+def test_a_limit_below_one_and_the_starts_of_an_outage_outlast_a_sleep() -> None:
+    relay = Relay()
+    relay.listed("a")
+    endpoint = relay.endpoint("a")
+    account = endpoint.account
+    account.learned, account.learned_us, account.stretched = 0.25, relay.now, 4 * SECOND
+    endpoint.starts.extend((relay.now - 2, relay.now - 1))
+    asleep(relay, 13 * SECOND)
+    again = relay.endpoint("a")
+    assert again is not endpoint
+    assert (again.account.learned, again.account.stretched) == (0.25, 4 * SECOND)
+    assert again.account.limit(relay.now) < 1
+    assert list(again.starts) == list(endpoint.starts)
