Keep a destination listed while its endpoint is replaced, and refuse cells out of range

Cause: a list's difference came in parts with what is gone first, so that a destination whose only endpoint was replaced seemed to have nobody between two parts: all it held was ended. A cell beyond 64 bits raised struct.error, which nobody caught. Change: what is gone drains first and goes last; such a cell, or a NUL in a locality, is a malformed list.

--- a/amberlug/core/listing.py
+++ b/amberlug/core/listing.py
@@ -13,6 +13,7 @@
 
 _STATES = {"in_service": State.IN, "terminating": State.DRAINING, "terminated": State.GONE}
 _MALFORMED = KeyError, TypeError, AttributeError, OverflowError
+CELL_MOST = (1 << 63) - 1
 _SPACE = re.compile(r"[ \t\n\r]*")
 _OCTET = r"(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
 _USUAL = re.compile(rf"{_OCTET}(?:\.{_OCTET}){{3}}:[1-9]\d{{0,3}}", re.ASCII)  # ipaddress takes 10 us for one
@@ -33,6 +34,8 @@
         where = item["host_port"]
         if _USUAL.fullmatch(where) is None:
             address(where)
+        if not -CELL_MOST <= int(item["cell"]) <= CELL_MOST or "\0" in str(item["locality"]):
+            raise ValueError("malformed list: a cell or locality that can't be")
         return Entry(
             endpoint=str(item["id"]),
             zone=str(item["locality"]),
--- a/stoatusher/membership.py
+++ b/stoatusher/membership.py
@@ -9,6 +9,7 @@
 
 import struct
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import TypeVar
 
 from stoatusher.interface import Entry, State
@@ -116,12 +117,20 @@
             (self._drained if drains else self._altered if known else self._added)[name] = row
 
     def batches(self, whole: bool) -> Iterator[tuple[Entry, ...]]:
-        """All that changes, in parts for one round each; what drains or is gone comes first."""
+        """All that changes, in parts for one round each; what wants nothing new comes first."""
+        # What is gone drains at first, and goes last: a destination whose endpoint is replaced must not seem
+        # to have nobody between two parts, which would end all that it holds.
+        gone = self._gone | self._unseen if whole else self._gone
         yield from _cut(self._drained, _entry)
-        yield from _cut(self._gone, _gone)
-        yield from _cut(self._unseen if whole else {}, _gone)
+        known = {name: row for name in gone if (row := self._members.row(name)) is not None}
+        yield from _cut(known, _leaving)
         yield from _cut(self._altered, _entry)
         yield from _cut(self._added, _entry)
+        yield from _cut(gone, _gone)
+
+
+def _leaving(name: str, row: bytes) -> Entry:
+    return replace(_entry(name, row), state=State.DRAINING)
 
 
 def _gone(name: str, row: None) -> Entry:
