Read long lists as they come, pack what a configuration lists, and give memory back

Cause: 50,000 listed left 550 bytes each in the process, of which 220 were what reading the configuration left: an object for each entry, between which what is kept held every page. A whole list kept its bytes, its text and two copies of names until it had been applied (71 MB, and 71 after it), and a change of one entry cost a look at all. Change: JSON is read from pieces that are let go of, entries are packed in one piece, a comparison looks at all only for long news, large pieces are given back to the system (mallopt), ports of five digits are read the quick way.

--- a/amberlug/core/listing.py
+++ b/amberlug/core/listing.py
@@ -4,19 +4,26 @@
 
 import json
 import re
+import struct
+from codecs import getincrementaldecoder
 from collections.abc import Collection, Iterator, Mapping
 from ipaddress import ip_address
 from typing import Any
 
 from amberlug.core.ports import Address, News
 from stoatusher.interface import Entry, State
+from stoatusher.membership import pack, unpack
 
 _STATES = {"in_service": State.IN, "terminating": State.DRAINING, "terminated": State.GONE}
 _MALFORMED = KeyError, TypeError, AttributeError, OverflowError
 CELL_MOST = (1 << 63) - 1
+PIECE = 1 << 16  # bytes decoded at a time
+VALUE_MOST = 1 << 18
 _SPACE = re.compile(r"[ \t\n\r]*")
 _OCTET = r"(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
-_USUAL = re.compile(rf"{_OCTET}(?:\.{_OCTET}){{3}}:[1-9]\d{{0,3}}", re.ASCII)  # ipaddress takes 10 us for one
+_PORT = r"(?:[1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])"
+_USUAL = re.compile(rf"{_OCTET}(?:\.{_OCTET}){{3}}:{_PORT}", re.ASCII)  # ipaddress takes 10 us for one
+_LENGTH = struct.Struct("<I")
 _decode = json.JSONDecoder().raw_decode
 
 
@@ -49,73 +56,117 @@
         raise ValueError(f"malformed list: {error!r}") from None
 
 
-def _checked(entry: Entry, kinds: Collection[str]) -> Entry:
-    if entry.kind not in kinds:
-        raise ValueError(f"unknown kind {entry.kind!r}")
-    return entry
+def _known(kind: str, kinds: Collection[str]) -> None:
+    if kind not in kinds:
+        raise ValueError(f"unknown kind {kind!r}")
+
+
+class _Packed:
+    """Entries read and not yet used, packed in one piece of memory.
+
+    Guards against a process that stays as large as all that it once read: between objects for tens of
+    thousands of entries, what is kept of each would hold every page of them.
+    """
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self.kinds: dict[str, None] = {}
+
+    def add(self, entry: Entry) -> None:
+        self.kinds[entry.kind] = None
+        row = b"" if entry.state is State.GONE else pack(entry)  # of what is gone only the name counts
+        for part in (entry.endpoint.encode(), row):
+            self._data += _LENGTH.pack(len(part)) + part
+
+    def __iter__(self) -> Iterator[Entry]:
+        """The entries, once: what is made of them takes their place."""
+        at, data, self._data = 0, self._data, bytearray()
+        while at < len(data):
+            name, at = _part(data, at)
+            row, at = _part(data, at)
+            gone = Entry(name.decode(), "", "", 0, State.GONE, 0.0)
+            yield unpack(gone.endpoint, row) if row else gone
+
+
+def _part(data: bytearray, at: int) -> tuple[bytes, int]:
+    (length,) = _LENGTH.unpack_from(data, at)
+    at += _LENGTH.size
+    return bytes(data[at : at + length]), at + length
 
 
 def read_news(data: Any, kinds: Collection[str]) -> News:
-    """Read an object of discovery's, whose members may have been read already; `ValueError` if malformed."""
+    """Read an object of discovery's, or what `read_beside` left of one; `ValueError` if malformed."""
     try:
-        members = (it if isinstance(it, Entry) else entry_of(it) for it in data["members"])
-        entries = [_checked(entry, kinds) for entry in members]
-        return News(_used_up(entries), int(data["revision"]), bool(data["complete"]))
+        packed = data["members"]
+        if not isinstance(packed, _Packed):
+            packed = _Packed()
+            for item in data["members"]:
+                packed.add(entry_of(item))
+        for kind in packed.kinds:
+            _known(kind, kinds)
+        return News(packed, int(data["revision"]), bool(data["complete"]))
     except _MALFORMED as error:
         raise ValueError(f"malformed list: {error!r}") from None
 
 
-def _used_up(entries: list[Entry]) -> Iterator[Entry]:
-    """Let go of each entry as it is read: what is made of them takes their place."""
-    entries.reverse()
-    while entries:
-        yield entries.pop()
-
+def read_beside(pieces: Iterator[bytes], name: str) -> dict[str, Any]:
+    """Read a JSON object of which the part called `name` is an object of discovery's, maybe a long one.
 
-def compact(item: dict[str, Any]) -> Any:
-    """Read what looks like a member as soon as JSON's reader has it: less is held at once."""
-    if "host_port" not in item:
-        return item
-    try:
-        return entry_of(item)
-    except ValueError:
-        return item  # told where the list is read
+    `ValueError` where it can't be read, or a member of the list is malformed.
+    """
+    told, text = dict[str, Any](), _Text(pieces)
+    more = text.begins("{", "}")
+    while more:
+        key = text.key()
+        if key == name and text.sign() == "{":
+            part, packed = _Object(text), _Packed()
+            for item in part:
+                packed.add(entry_of(item))
+            told[key] = part.told | ({"members": packed} if "members" in part.told else {})
+        else:
+            told[key] = text.value()
+        more = text.goes_on("}")
+    text.finish()
+    return told
 
 
-def read_line(text: str, kinds: Collection[str], given: Mapping[str, Any] | None = None) -> News:
-    """Read a line of discovery's, one member each time that one is asked for.
+def read_line(
+    line: bytes | bytearray, kinds: Collection[str], given: Mapping[str, Any] | None = None
+) -> News:
+    """Read a line of discovery's, one member each time that one is asked for; a `bytearray` is used up.
 
     What is `given` counts in place of what the line tells beside its members, or leaves out.
     """
     news = News(())
-    news.entries = _scan(text, kinds, news, given or {})
+    news.entries = _scan(_pieces(line), kinds, news, given or {})
     return news
 
 
-def _scan(text: str, kinds: Collection[str], news: News, given: Mapping[str, Any]) -> Iterator[Entry]:
-    """Read an object whose list of members may be long; the rest of it is short."""
-    # JSON's own reader makes all of it at once: for 50,000 members a third of a second and 40 MB.
-    at, told, more = _expect(text, 0, "{"), dict[str, Any](), True
-    while more:
-        key, at = _value(text, at)
-        at = _expect(text, at, ":")
-        if key in told:
-            raise ValueError(f"malformed list: {key!r} twice")
-        if key == "members":
-            told[key] = None
-            at = _expect(text, at, "[")
-            more = text[at : at + 1] != "]"
-            at += not more
-            while more:
-                item, at = _value(text, at)
-                yield _checked(entry_of(item), kinds)
-                more, at = _goes_on(text, at, "]")
-        else:
-            told[key], at = _value(text, at)
-        more, at = _goes_on(text, at, "}")
-    if at != len(text) or "members" not in told:
-        raise ValueError("malformed list: not one object with members")
-    _conclude(news, {**told, **given})
+def _pieces(line: bytes | bytearray) -> Iterator[bytes]:
+    """Cut a line, and let go of what was read: what is made of it takes its place."""
+    if isinstance(line, bytes):
+        for start in range(0, len(line), PIECE):
+            yield line[start : start + PIECE]
+        return
+    while line:
+        yield bytes(line[:PIECE])
+        del line[:PIECE]
+
+
+def _scan(
+    pieces: Iterator[bytes], kinds: Collection[str], news: News, given: Mapping[str, Any]
+) -> Iterator[Entry]:
+    """Read an object whose list of members may be long."""
+    text = _Text(pieces)
+    whole = _Object(text)
+    for item in whole:
+        entry = entry_of(item)
+        _known(entry.kind, kinds)
+        yield entry
+    text.finish()
+    if "members" not in whole.told:
+        raise ValueError("malformed list: no members")
+    _conclude(news, {**whole.told, **given})
 
 
 def _conclude(news: News, told: Mapping[str, Any]) -> None:
@@ -125,30 +176,109 @@
         raise ValueError(f"malformed list: {error!r}") from None
 
 
-def _blank(text: str, at: int) -> int:
-    """Where the blanks that begin there end."""
-    match = _SPACE.match(text, at)
-    return match.end() if match is not None else at
+class _Object:
+    """An object whose list of members may be long; the rest of it is short.
+
+    Yields the members, each read as it is asked for. After the last, `told` holds the rest.
+    """
 
+    def __init__(self, text: _Text) -> None:
+        self._text, self.told = text, dict[str, Any]()
 
-def _value(text: str, at: int) -> tuple[Any, int]:
-    try:
-        value, at = _decode(text, at)
-    except RecursionError:
-        raise ValueError("line nested too deep") from None
-    return value, _blank(text, at)
+    def __iter__(self) -> Iterator[Any]:
+        text, told = self._text, self.told
+        more = text.begins("{", "}")
+        while more:
+            key = text.key()
+            if key in told:
+                raise ValueError(f"malformed list: {key!r} twice")
+            if key == "members":
+                told[key] = None
+                listed = text.begins("[", "]")
+                while listed:
+                    yield text.value()
+                    listed = text.goes_on("]")
+            else:
+                told[key] = text.value()
+            more = text.goes_on("}")
+
+
+class _Text:
+    """JSON read one value at a time, of which only what is being read is decoded.
+
+    JSON's own reader makes all of it at once: for 50,000 members a third of a second and 40 MB.
+    """
+
+    def __init__(self, pieces: Iterator[bytes]) -> None:
+        self._pieces, self._ended = pieces, False
+        self._decoder = getincrementaldecoder("utf-8")()
+        self._text, self._at = "", 0
+
+    def _more(self) -> bool:
+        """Decode a further piece, if there is one."""
+        if self._ended:
+            return False
+        piece = next(self._pieces, b"")
+        self._ended = not piece
+        self._text, self._at = self._text[self._at :] + self._decoder.decode(piece, self._ended), 0
+        return True
+
+    def sign(self) -> str:
+        """The next sign that is not blank, left to be read; none at the end."""
+        while True:
+            match = _SPACE.match(self._text, self._at)
+            self._at = match.end() if match is not None else self._at
+            if self._at < len(self._text):
+                return self._text[self._at]
+            if not self._more():
+                return ""
+
+    def expect(self, sign: str) -> None:
+        """Read past a sign."""
+        if self.sign() != sign:
+            raise ValueError(f"malformed: {sign!r} missing before {self._text[self._at :][:20]!r}")
+        self._at += 1
+
+    def begins(self, sign: str, end: str) -> bool:
+        """Read past the sign that begins an object or array: whether it holds anything."""
+        self.expect(sign)
+        empty = self.sign() == end
+        self._at += empty
+        return not empty
 
+    def value(self) -> Any:
+        """Read a value of any kind, of 256 KiB at most."""
+        while True:
+            self.sign()
+            try:
+                value, end = _decode(self._text, self._at)
+            except RecursionError:
+                raise ValueError("nested too deep") from None
+            except json.JSONDecodeError as error:
+                # It may go on in the next piece. Guards against reading what is broken again and again.
+                if len(self._text) - self._at < VALUE_MOST and self._more():
+                    continue
+                raise ValueError(f"malformed: {error.msg} at {self._text[self._at :][:20]!r}") from None
+            if end == len(self._text) and self._more():
+                continue  # a number may go on
+            self._at = end
+            return value
 
-def _expect(text: str, at: int, sign: str) -> int:
-    at = _blank(text, at)
-    if text[at : at + 1] != sign:
-        raise ValueError(f"malformed list: {sign!r} missing at {at}")
-    return _blank(text, at + 1)
+    def key(self) -> str:
+        """Read a key of an object, with its colon."""
+        key = self.value()
+        if not isinstance(key, str):
+            raise ValueError(f"malformed: {key!r} is no key")
+        self.expect(":")
+        return key
 
+    def goes_on(self, end: str) -> bool:
+        """Read past what follows an item: whether it is a further one."""
+        more = self.sign() == ","
+        self.expect("," if more else end)
+        return more
 
-def _goes_on(text: str, at: int, end: str) -> tuple[bool, int]:
-    """Whether a further item follows, and where it or what comes next begins."""
-    sign = text[at : at + 1]
-    if sign not in (",", end) or not sign:
-        raise ValueError(f"malformed list: ',' or {end!r} missing at {at}")
-    return sign == ",", _blank(text, at + 1)
+    def finish(self) -> None:
+        """See that nothing follows."""
+        if self.sign():
+            raise ValueError(f"malformed: more than one object, before {self._text[self._at :][:20]!r}")
--- a/amberlug/library/endpoints.py
+++ b/amberlug/library/endpoints.py
@@ -139,7 +139,7 @@
             text = file.read(FILE_MOST + 1)
         if len(text) > FILE_MOST:
             raise ValueError("the list is too long")
-        return read_line(text.decode(), settings.kinds, {"revision": 0, "complete": True})
+        return read_line(text, settings.kinds, {"revision": 0, "complete": True})
 
 
 def apply(work: Iterator[None]) -> None:
--- a/amberlug/platform/config.py
+++ b/amberlug/platform/config.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from amberlug.core.journal import Durability
-from amberlug.core.listing import address, compact, read_news
+from amberlug.core.listing import PIECE, address, read_beside, read_news
 from amberlug.core.messages import BODY_MOST
 from amberlug.core.ports import Address, News
 from stoatusher.interface import Settings
@@ -66,7 +66,8 @@
     if not path:
         raise ValueError("ROUTER_CONFIG is not set")
     try:
-        data = json.loads(Path(path).read_text(encoding="utf-8"), object_hook=compact)
+        with Path(path).open("rb") as file:
+            data = read_beside(iter(partial(file.read, PIECE), b""), "known")
         limits, settings = read_limits(data["limits"]), read_settings(data["settings"])
         # Guards against calls that the module starts and no connection can carry.
         settings = replace(settings, slots=min(settings.slots, limits.links))
--- a/amberlug/platform/daemon.py
+++ b/amberlug/platform/daemon.py
@@ -19,6 +19,7 @@
 from amberlug.http.server import Server
 from amberlug.platform.config import Config, read_config
 from amberlug.platform.discovery import Watch
+from amberlug.platform.memory import give_back
 from amberlug.platform.notices import Notices
 from amberlug.platform.turns import Turns
 
@@ -96,6 +97,7 @@
     """Run the relay; 0 after SIGTERM, 2 after one plain line on what it can't be started with."""
     logging.basicConfig(stream=sys.stderr, format="%(message)s")
     LOGGER.setLevel(logging.INFO)
+    give_back()
     try:
         config, turns = read_config(os.environ), Turns()
         with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner:
--- a/amberlug/platform/discovery.py
+++ b/amberlug/platform/discovery.py
@@ -93,11 +93,7 @@
 
     def _read(self, line: bytearray) -> Iterator[None]:
         """Read a line, a slice at a time."""
-        size, text = len(line), line.decode()
-        yield  # each of these takes milliseconds where the line has megabytes
-        line.clear()
-        news = read_line(text, self._kinds)
-        yield
+        size, news = len(line), read_line(line, self._kinds)
         yield from self._told(news)
         self._revision = news.revision
         self._unread -= size
--- a/stoatusher/membership.py
+++ b/stoatusher/membership.py
@@ -8,24 +8,24 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import replace
-from typing import TypeVar
 
 from stoatusher.interface import Entry, State
 
 _ROW = struct.Struct("<qd?")  # destination, rate, whether it drains
 _SEPARATOR = "\0"
-T = TypeVar("T")
 BATCH = 100  # entries that a host reads, or applies in one round, at a time: a millisecond or two
 
 
-def _row(entry: Entry) -> bytes:
+def pack(entry: Entry) -> bytes:
+    """A row for what the list says of an endpoint, but its name."""
     text = _SEPARATOR.join((entry.zone, entry.kind, entry.where))
     return _ROW.pack(entry.destination, entry.rate, entry.state is State.DRAINING) + text.encode()
 
 
-def _entry(name: str, row: bytes) -> Entry:
+def unpack(name: str, row: bytes) -> Entry:
+    """What the list says of the endpoint of that name, from its row."""
     destination, rate, drains = _ROW.unpack_from(row)
     zone, kind, where = row[_ROW.size :].decode().split(_SEPARATOR, 2)
     return Entry(name, zone, kind, destination, State.DRAINING if drains else State.IN, rate, where)
@@ -50,7 +50,7 @@
     def get(self, name: str) -> Entry | None:
         """What the newest list says of an endpoint."""
         row = self._rows.get(name)
-        return _entry(name, row) if row is not None else None
+        return unpack(name, row) if row is not None else None
 
     def serves(self, destination: int) -> bool:
         """Whether an endpoint is listed there; one that drains counts until it is gone."""
@@ -58,7 +58,7 @@
 
     def at(self, destination: int) -> list[Entry]:
         """Endpoints listed there, in the order listed."""
-        return [_entry(name, self._rows[name]) for name in self._of.get(destination, ())]
+        return [unpack(name, self._rows[name]) for name in self._of.get(destination, ())]
 
     def row(self, name: str) -> bytes | None:
         """What the table holds of an endpoint, to be compared with."""
@@ -74,13 +74,13 @@
             # A copy: what is kept must not hold pages of all that was made to read a long list.
             name = name.encode().decode()
             self._of[entry.destination] = (*self._of.get(entry.destination, ()), name)
-        self._rows[name] = _row(entry)
+        self._rows[name] = pack(entry)
 
     def remove(self, name: str) -> Entry | None:
         """Forget an endpoint; what the table said of it."""
         if (row := self._rows.pop(name, None)) is None:
             return None
-        entry = _entry(name, row)
+        entry = unpack(name, row)
         left = tuple(other for other in self._of[entry.destination] if other != name)
         if left:
             self._of[entry.destination] = left
@@ -97,7 +97,8 @@
 
     def __init__(self, members: Members) -> None:
         self._members = members
-        self._unseen = dict.fromkeys(members)
+        self._few: list[str] = []  # the first that were told
+        self._unseen: dict[str, None] | None = None  # all others, once the news are long
         self._gone: dict[str, None] = {}
         self._drained: dict[str, bytes] = {}
         self._altered: dict[str, bytes] = {}
@@ -105,39 +106,54 @@
 
     def add(self, entry: Entry) -> None:
         """Take one entry in; of several for one endpoint the last counts."""
-        name, row = entry.endpoint, _row(entry)
-        if name not in self._unseen:
-            for part in (self._gone, self._drained, self._altered, self._added):
-                part.pop(name, None)
-        self._unseen.pop(name, None)
+        name = entry.endpoint
+        for part in (self._gone, self._drained, self._altered, self._added):
+            part.pop(name, None)
+        self._see(name)
         if entry.state is State.GONE:
             self._gone[name] = None
-        elif (was := self._members.row(name)) != row:
+        elif (was := self._members.row(name)) != (row := pack(entry)):
             drains, known = entry.state is State.DRAINING, was is not None
             (self._drained if drains else self._altered if known else self._added)[name] = row
 
+    def _see(self, name: str) -> None:
+        if self._unseen is not None:
+            self._unseen.pop(name, None)
+            return
+        self._few.append(name)
+        if len(self._few) > BATCH:  # a few changes must not cost a look at all that is listed
+            self._unseen = self._others()
+            self._few = []
+
+    def _others(self) -> dict[str, None]:
+        others = dict.fromkeys(self._members)
+        for name in self._few:
+            others.pop(name, None)
+        return others
+
     def batches(self, whole: bool) -> Iterator[tuple[Entry, ...]]:
         """All that changes, in parts for one round each; what wants nothing new comes first."""
         # What is gone drains at first, and goes last: a destination whose endpoint is replaced must not seem
         # to have nobody between two parts, which would end all that it holds.
-        gone = self._gone | self._unseen if whole else self._gone
-        yield from _cut(self._drained, _entry)
-        known = {name: row for name in gone if (row := self._members.row(name)) is not None}
-        yield from _cut(known, _leaving)
-        yield from _cut(self._altered, _entry)
-        yield from _cut(self._added, _entry)
-        yield from _cut(gone, _gone)
-
-
-def _leaving(name: str, row: bytes) -> Entry:
-    return replace(_entry(name, row), state=State.DRAINING)
-
-
-def _gone(name: str, row: None) -> Entry:
-    return Entry(name, "", "", 0, State.GONE, 0.0)
-
-
-def _cut(part: dict[str, T], make: Callable[[str, T], Entry]) -> Iterator[tuple[Entry, ...]]:
-    names = list(part)
-    for start in range(0, len(names), BATCH):  # used up as it goes: the table's rows take their place
-        yield tuple(make(name, part.pop(name)) for name in names[start : start + BATCH])
+        gone = [*self._gone]
+        if whole:
+            gone += self._others() if self._unseen is None else self._unseen
+        self._unseen = None
+        yield from _cut(self._drained)
+        for part in _parts(gone):
+            rows = ((name, self._members.row(name)) for name in part)
+            yield tuple(replace(unpack(name, row), state=State.DRAINING) for name, row in rows if row)
+        yield from _cut(self._altered)
+        yield from _cut(self._added)
+        for part in _parts(gone):
+            yield tuple(Entry(name, "", "", 0, State.GONE, 0.0) for name in part)
+
+
+def _parts(names: list[str]) -> Iterator[list[str]]:
+    for start in range(0, len(names), BATCH):
+        yield names[start : start + BATCH]
+
+
+def _cut(part: dict[str, bytes]) -> Iterator[tuple[Entry, ...]]:
+    for names in _parts(list(part)):  # used up as it goes: the table's rows take their place
+        yield tuple(unpack(name, part.pop(name)) for name in names)
