Share short slots by what a call costs, and keep a tenth for what delivers

Cause: where half of 2,000 woken were slow, refusing, dead or silent, each of them could hold four slots for seconds, each that waited had all calls looked through, and the line took no heed of how long a call holds its slot. Change: one call to what has delivered nothing lately while half of the slots are out; a tenth of them is kept for what has; of those that wait the one goes first that loses most for the time it holds a slot (c mu); overdue calls are looked for once a round. The stand-in's clients come again; a directory stands beside it.

--- a/amberlug/standin/crowd.py
+++ b/amberlug/standin/crowd.py
@@ -1,19 +1,23 @@
 """Tens of thousands of stand-in endpoints in one process, and clients fast enough to wake many at once.
 
 Endpoints share a few listeners on loopback, so that descriptors are taken by calls, not by endpoints: which
-endpoint a call is for is told by its message's name, `<destination>-<anything>`. Reading and writing is as
-plain as can be, since this side must not be what is slow.
+endpoint a call is for is told by its message's name, `<destination>-<anything>`. What is handed back comes
+again under a new id, `<name>~<times>`. Reading and writing is as plain as can be, since this side must not be
+what is slow.
 """
 
 from __future__ import annotations
 
 import asyncio
+import json
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
+from amberlug.standin.wire import Platform, Seen
+
 BODY = b"x" * 300
 PASSING = 0.1  # seconds after a wait was told in which calls were already on their way
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -111,7 +115,7 @@
     def _answer(self, it: Called, served: _Served, name: str | None, answer: bytes) -> None:
         it.out -= 1
         if served.write(answer) and name is not None:
-            self.delivered[name] = asyncio.get_running_loop().time()
+            self.delivered.setdefault(name.partition("~")[0], asyncio.get_running_loop().time())
 
 
 class _Served(asyncio.Protocol):
@@ -161,8 +165,11 @@
     made: float
     message_class: str
     deadline: float  # seconds from when it was made
+    client: Client
     status: int = 0
     times: int = 0
+    lives: int = 0  # how often it was handed back, each time to come again under a new id
+    ended: str = ""  # the last end that was told
 
 
 class Client(asyncio.Protocol):
@@ -182,17 +189,19 @@
 
     def hand_in(self, name: str, message_class: str, deadline: float) -> None:
         """Hand a message in after those before it, and again when told to; `deadline` in seconds."""
-        self._told[name] = Told(asyncio.get_running_loop().time(), message_class, deadline)
-        self._ask(name)
+        self._told[name] = Told(asyncio.get_running_loop().time(), message_class, deadline, self)
+        self.ask(name)
 
-    def _ask(self, name: str) -> None:
+    def ask(self, name: str) -> None:
         told = self._told[name]
+        """Hand a message in, once more or for the first time, if there is time left for it."""
         left_ms = int((told.made + told.deadline - asyncio.get_running_loop().time()) * 1000)
         if left_ms < 1 or not self._ready:
             return
         told.times += 1
+        again = f"~{told.lives}" if told.lives else ""
         head = (
-            f"POST /{told.message_class} HTTP/1.1\r\nHost: relay\r\nReq-Id: {name}\r\n"
+            f"POST /{told.message_class} HTTP/1.1\r\nHost: relay\r\nReq-Id: {name}{again}\r\n"
             f"Req-Kind: {told.message_class}\r\nReq-Deadline-Ms: {left_ms}\r\n"
             f"Envelope: dest={name.partition('-')[0]}\r\nIdempotency-Key: k-{name}\r\n"
             f"Content-Length: {len(BODY)}\r\n\r\n"
@@ -208,7 +217,7 @@
             name, _ = self._asked.pop(0)
             self._told[name].status = status
             if status in (429, 503):
-                asyncio.get_running_loop().call_later(again, self._ask, name)
+                asyncio.get_running_loop().call_later(again, self.ask, name)
             if self._asked:
                 self._transport.write(self._asked[0][1])
 
@@ -229,3 +238,43 @@
 def ends(told: Iterable[Told]) -> Counter[int]:
     """How many hand-ins were answered with each status."""
     return Counter(it.status for it in told)
+
+
+class Directory(Platform):
+    """The platform: streams lists and changes, and has clients come again with what is handed back."""
+
+    def __init__(self, told: dict[str, Told]) -> None:
+        super().__init__()
+        self._handed_in = told
+        self.revision = 1
+        self.on_request = self._requested
+
+    def whole(self, members: list[dict[str, Any]]) -> None:
+        """Tell a whole list: what is not in it is gone."""
+        self._list(members, complete=True)
+
+    def change(self, members: list[dict[str, Any]]) -> None:
+        """Tell some entries that are new or have changed."""
+        self._list(members, complete=False)
+
+    def _list(self, members: list[dict[str, Any]], complete: bool) -> None:
+        self.revision += 1
+        news = {"revision": self.revision, "complete": complete, "members": members}
+        self.tell(json.dumps(news).encode())
+
+    def _requested(self, seen: Seen) -> bool:
+        if seen.path == "/v1/notices":
+            for line in seen.body.splitlines():
+                self._ended(json.loads(line))
+        return self._watch(seen)
+
+    def _ended(self, notice: dict[str, Any]) -> None:
+        name, _, life = notice["message"].partition("~")
+        told = self._handed_in.get(name)
+        if told is None or int(life or 0) != told.lives:
+            return  # nobody here handed it in, or it was told before
+        told.ended = notice["outcome"]
+        if told.ended == "handed_back":
+            told.lives += 1
+            after = notice.get("retry_in_ms", 1000) / 1000
+            asyncio.get_running_loop().call_later(after, told.client.ask, name)
--- a/benchmarks/sleeping.py
+++ b/benchmarks/sleeping.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -21,9 +22,9 @@
 from amberlug.http.calls import Caller
 from amberlug.platform.discovery import Watch
 from amberlug.platform.notices import Notices
-from amberlug.standin.crowd import Client, Crowd, Mood, Told, ends
+from amberlug.standin.crowd import Client, Crowd, Directory, Mood, Told, ends
 from amberlug.standin.deployment import settings
-from amberlug.standin.wire import PATIENCE, Platform
+from amberlug.standin.wire import PATIENCE
 from benchmarks.cost import ROOT, cpu_seconds, free_port
 from stoatusher.settings import read_settings
 
@@ -43,11 +44,14 @@
 class Daemon:
     """The relay with so many endpoints in its configuration."""
 
-    def __init__(self, folder: Path, crowd: Crowd, listed: int, platform: Platform) -> None:
-        self._folder, self._crowd, self._listed, self._platform = folder, crowd, listed, platform
+    def __init__(self, folder: Path, crowd: Crowd, listed: int) -> None:
+        self._folder, self._crowd, self._listed = folder, crowd, listed
+        self.told: dict[str, Told] = {}
+        self.platform = Directory(self.told)
         self.port = free_port()
 
     async def __aenter__(self) -> Daemon:
+        await self.platform.start()
         table = settings()
         table["FamilyInfo"]["Slots"] = 300
         table["Bounds"]["MaxOpen"] = 4000
@@ -56,7 +60,7 @@
         known = {"revision": 1, "complete": True, "members": self._crowd.members(range(self._listed))}
         path.write_text(json.dumps({
             "name": "sleeping", "seed": "1", "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{self._platform.port}", "settings": table, "known": known,
+            "discovery": f"127.0.0.1:{self.platform.port}", "settings": table, "known": known,
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1024, "disk_mb": 16},
         }))  # fmt: skip
         variables = os.environ | {"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(state)}
@@ -70,12 +74,13 @@
                 assert said, "the relay ended before it was ready"
         self.started = time.perf_counter() - start
         self._log = asyncio.ensure_future(self.process.stderr.read())
-        await self._platform.watched(len(self._platform.watches) or 1)
+        await self.platform.watched(len(self.platform.watches) or 1)
         return self
 
     async def __aexit__(self, *error: object) -> None:
         self.process.kill()
         await self.process.wait()
+        await self.platform.stop()
 
     @property
     def cpu(self) -> float:
@@ -85,10 +90,11 @@
     def memory(self) -> float:
         return resident(self.process.pid)
 
-    async def clients(self, count: int, told: dict[str, Told]) -> list[Client]:
+    async def clients(self, count: int) -> list[Client]:
         loop = asyncio.get_running_loop()
         made = [
-            await loop.create_connection(lambda: Client(told), "127.0.0.1", self.port) for _ in range(count)
+            await loop.create_connection(lambda: Client(self.told), "127.0.0.1", self.port)
+            for _ in range(count)
         ]
         return [client for _, client in made]
 
@@ -103,15 +109,11 @@
 
 
 async def with_daemon(listed: int, crowd: Crowd, work: Callable[[Daemon], Awaitable[None]]) -> None:
-    platform = Platform()
-    await platform.start()
     await crowd.start()
     with tempfile.TemporaryDirectory() as folder:
-        async with Daemon(Path(folder), crowd, listed, platform) as daemon:
-            daemon.platform = platform  # type: ignore[attr-defined]
+        async with Daemon(Path(folder), crowd, listed) as daemon:
             await work(daemon)
     await crowd.stop()
-    await platform.stop()
 
 
 async def cost(listed: int, seconds: float) -> tuple[float, float, float]:
@@ -119,8 +121,7 @@
     found: list[tuple[float, float, float]] = []
 
     async def work(daemon: Daemon) -> None:
-        told: dict[str, Told] = {}
-        clients = await daemon.clients(8, told)
+        clients = await daemon.clients(8)
         memory = daemon.memory
 
         def hand_in(count: int) -> None:
@@ -142,8 +143,8 @@
     crowd = Crowd(listed)
 
     async def work(daemon: Daemon) -> None:
-        told: dict[str, Told] = {}
-        clients, loop = await daemon.clients(9, told), asyncio.get_running_loop()
+        told, loop = daemon.told, asyncio.get_running_loop()
+        clients = await daemon.clients(9)
         waits: list[tuple[float, float]] = []
         stop = False
 
@@ -169,7 +170,7 @@
         kept = int(listed * (1 - share))
         members = crowd.members(range(kept)) + crowd.members(range(kept, listed), life=1)
         told_at = loop.time()
-        daemon.platform.tell(line(members, 2).encode())  # type: ignore[attr-defined]
+        daemon.platform.whole(members)
         peak, memory = 0.0, daemon.memory
         while loop.time() < told_at + 4.0:
             peak = max(peak, daemon.memory)
@@ -231,34 +232,46 @@
     await crowd.stop()
 
 
-async def event(listed: int, woken: int, each: int, bad: bool) -> None:
+@dataclass(slots=True)
+class Woken:
+    """What an event looked like: delays of first calls, and what was seen every 50 ms, in seconds and MB."""
+
+    firsts: list[float]
+    at: list[float] = field(default_factory=list)
+    memory: list[float] = field(default_factory=list)
+    delivered: list[int] = field(default_factory=list)  # to the woken, so far
+
+
+async def event(listed: int, woken: int, each: int, bad: bool) -> Woken:
     """Wake many at once while the busy go on: first calls, the busy ones' aims, memory."""
+    seen = Woken([])
     moods = [Mood.WELL, Mood.SLOW, Mood.WELL, Mood.REFUSES, Mood.WELL, Mood.DEAD, Mood.WELL, Mood.SILENT]
     crowd = Crowd(listed, lambda number: moods[number % 8] if bad and number >= BUSY else Mood.WELL)
 
     async def work(daemon: Daemon) -> None:
-        told: dict[str, Told] = {}
-        busy, loop, memory = await daemon.clients(10, told), asyncio.get_running_loop(), daemon.memory
+        told, loop, memory = daemon.told, asyncio.get_running_loop(), daemon.memory
+        busy = await daemon.clients(10)
         going_on = asyncio.ensure_future(
             paced(
                 100, 20.0, lambda count: busy[count % 10].hand_in(f"{count % BUSY}-b{count}", "payment", 4.0)
             )
         )
         await asyncio.sleep(4.0)
-        crowding = await daemon.clients(50, told)  # an idle connection would have been closed by now
+        crowding = await daemon.clients(50)  # an idle connection would have been closed by now
         woken_at = loop.time()
 
         def wake(count: int) -> None:
             crowding[count % 50].hand_in(f"{BUSY + count % woken}-w{count}", "result", 15.0)
 
         await paced(woken * each / 2.0, 2.0, wake)
-        peak = 0.0
         while loop.time() < woken_at + 16.0:
-            peak = max(peak, daemon.memory)
+            seen.at.append(loop.time() - woken_at)
+            seen.memory.append(daemon.memory)
+            seen.delivered.append(sum("-w" in name for name in crowd.delivered))
             await asyncio.sleep(0.05)
         await going_on
         await asyncio.sleep(1.0)
-        firsts = sorted(
+        firsts = seen.firsts = sorted(
             it.first - min(told[f"{number}-w{number - BUSY}"].made, it.first)
             for number, it in crowd.called.items()
             if number >= BUSY
@@ -266,18 +279,44 @@
         names = [name for name in told if "-b" in name]
         took = [crowd.delivered[name] - told[name].made for name in names if name in crowd.delivered]
         kept = sum(wait <= 1.0 for wait in took) / len(names)
+        well = {it for it in told if "-w" in it and crowd.mood(int(it.partition("-")[0])) is Mood.WELL}
         print(
             f"{woken} woken with {each} each in 2 s{', half of them slow, refusing, dead or silent' * bad}: "
             f"first calls to {len(firsts)}, after median {statistics.median(firsts):.2f}, "
             f"p99 {firsts[int(len(firsts) * 0.99)]:.2f}, most {firsts[-1]:.2f} s; "
             f"{kept:.1%} of {len(names)} for the busy kept their aim; "
-            f"memory {memory:.0f}, peak {peak:.0f} MB; "
-            f"delivered {sum('-w' in name for name in crowd.delivered)} of {woken * each} to the woken; "
+            f"memory {memory:.0f}, peak {max(seen.memory):.0f} MB; "
+            f"delivered {sum('-w' in name for name in crowd.delivered)} of {woken * each} to the woken, "
+            f"{len(well & crowd.delivered.keys())} of {len(well)} to those of them that are well; "
             f"calls before a told wait was over: {sum(it.early for it in crowd.called.values())}; "
             f"answers {dict(ends(told.values()))}"
         )
 
     await with_daemon(listed, crowd, work)
+    return seen
+
+
+def plot(path: Path, events: dict[str, Woken]) -> None:
+    """Draw the events, one line each, as SVG: first calls, deliveries and memory over time."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    matplotlib.rcParams["svg.hashsalt"] = "amberlug"
+    from matplotlib import pyplot
+
+    figure, (first, delivered, memory) = pyplot.subplots(1, 3, figsize=(13, 3.8), layout="constrained")
+    for name, it in events.items():
+        first.step(it.firsts, range(1, len(it.firsts) + 1), where="post", label=name)
+        delivered.plot(it.at, it.delivered, label=name)
+        memory.plot(it.at, it.memory, label=name)
+    first.set(xlabel="s after its first hand-in", ylabel="destinations called", xlim=0, ylim=0)
+    delivered.set(xlabel="s after the first woke", ylabel="messages delivered to the woken", ylim=0)
+    memory.set(xlabel="s after the first woke", ylabel="resident memory, MB", ylim=0)
+    memory.axhline(64, color="grey", linestyle=":", label="what the deployment gives")
+    for axes in (first, delivered, memory):
+        axes.grid(alpha=0.3)
+    memory.legend(loc="lower right")
+    figure.savefig(path, metadata={"Date": None})
 
 
 async def main(options: argparse.Namespace) -> None:
@@ -297,8 +336,12 @@
     )
     await hold_ups(options.listed, 0.58)
     await whole_list(options.listed, 0.58)
-    await event(options.listed, options.woken, 5, bad=False)
-    await event(options.listed, options.woken, 5, bad=True)
+    events = {
+        "all well": await event(options.listed, options.woken, 5, bad=False),
+        "half slow, refusing, dead or silent": await event(options.listed, options.woken, 5, bad=True),
+    }
+    if options.plot:
+        plot(options.plot, events)
 
 
 if __name__ == "__main__":
@@ -307,4 +350,5 @@
     parser.add_argument("--woken", type=int, default=2_000)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--turns", type=int, default=3)
+    parser.add_argument("--plot", type=Path, help="draw the events into this SVG file")
     asyncio.run(main(parser.parse_args()))
--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -31,6 +31,7 @@
 REUSES = 2  # so many calls within the time that an idle connection lives make it worth keeping
 FEW = 4  # calls out at once to an endpoint that has delivered nothing lately; more may all be lost at once
 LATELY_US = 60 * SECOND
+FRESH_SHARE = 0.9  # part of the slots that calls to such endpoints may take: the rest is for what delivers
 HOLD, MAKE_ROOM = 0.95, 100  # above this share of MaxOpen it refuses the least, one in so many: ranking costs
 ASK_AGAIN_US = SECOND // 2  # first pause before asking the list again, doubled up to a quarter of AskWithin
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMED_OUT, Result.RESET, Result.CALLED_OFF, Result.SPOILT)
@@ -61,7 +62,7 @@
         """Take in all events of a round, then serve what they touched, the dearest to delay first."""
         if now_us < self.now:
             raise ValueError(f"time runs backwards: {now_us} after {self.now}")
-        self.now, self.actions, self.touched = now_us, [], {}
+        self.now, self.actions, self.touched, self.overdue_us = now_us, [], {}, None
         if self.settings.asks and not self.asked:
             self.ask()
         for event in events:
@@ -78,7 +79,7 @@
             elif isinstance(event, api.Withdrawn) and event.ref in self.messages:
                 self.drop(self.messages[event.ref])
         urgent = [destination for destination in self.touched if destination.waiting]
-        urgent.sort(key=lambda to: self.loss(next(iter(to.waiting.values()))), reverse=True)
+        urgent.sort(key=self.urgency, reverse=True)
         for destination in urgent:
             self.serve(destination)
         self.close_idle()
@@ -269,12 +270,22 @@
             return False
         return all(call.endpoint is not endpoint for call in message.out.values())
 
-    def rank(self, endpoint: Endpoint) -> tuple[bool, float, int, int]:
-        """Choose an endpoint: not lately failed, low fee, few calls out for the connections at hand."""
+    def proven(self, endpoint: Endpoint) -> bool:
+        """Whether it has delivered lately."""
+        return endpoint.done_us >= self.now - LATELY_US
+
+    def no_slot(self, endpoint: Endpoint) -> bool:
+        """Whether slots are too short for a call there."""
+        # Guards the busy against many that wake at once and answer slowly or not at all. It harms what wakes
+        # where all others wake too: a tenth of the slots stays free until the first is delivered.
+        return self.slots_out >= self.settings.slots * (1 if self.proven(endpoint) else FRESH_SHARE)
+
+    def rank(self, endpoint: Endpoint) -> tuple[bool, bool, float, int, int]:
+        """Choose an endpoint: a slot for it, not lately failed, low fee, few calls out for connections."""
         entry = endpoint.entry
         fee = self.settings.fees.get(entry.zone, 0.0) * self.settings.kinds[entry.kind].apart
         failed = endpoint.cold or self.now < endpoint.failed_us + AVOID_US
-        return failed, fee, endpoint.out - bool(endpoint.idle), endpoint.out
+        return self.no_slot(endpoint), failed, fee, endpoint.out - bool(endpoint.idle), endpoint.out
 
     def eligible(self, message: Message) -> bool:
         rest = 0 if message.key is None or message.attempts else self.rests.get(message.key, 0)
@@ -287,6 +298,12 @@
         soon, halving = self.now + FIRST_GUESS_US, self.settings.halving
         return message.worth_at(soon, halving) - message.worth_at(soon + delay_us, halving)
 
+    def urgency(self, destination: Destination) -> float:
+        """What is lost by not serving a destination next, for the time that it would hold a slot."""
+        # Guards the quick against the slow where slots are short: the rule of least cost, c times mu.
+        usual = min((it.usual_us for it in destination.accounts.values()), default=FIRST_GUESS_US)
+        return self.loss(next(iter(destination.waiting.values()))) / max(usual, SECOND // 100)
+
     def order(self, destination: Destination) -> list[Message]:
         """Order what waits by what each loses if it goes last instead of first, then by aims."""
         pace = sum(account.limit(self.now) / account.window for account in destination.accounts.values())
@@ -296,12 +313,13 @@
 
     def openings(self, destination: Destination) -> Iterator[tuple[Endpoint, int]]:
         """Endpoints with a slot and a connection to be had, and when each may next be called."""
+        few = FEW if self.slots_out <= self.settings.slots * SLOT_SHARE else 1  # where slots are short
         for endpoint in destination.endpoints.values():
             endpoint.forget_idle(self.now - self.settings.idle_us)
             full = not endpoint.idle and self.now < endpoint.table_until and endpoint.out >= endpoint.table
             # Guards against slots that many woken at once hold, of which some are slow, silent or dead. It
             # harms one that is well and slow: its second message waits for the first one's answer.
-            unsure = endpoint.out >= FEW and endpoint.done_us < self.now - LATELY_US
+            unsure = endpoint.out >= few and not self.proven(endpoint)
             if not (full or unsure or endpoint.account.crowded(self.now)):
                 yield endpoint, max(endpoint.account.opening(self.now), self.cold_opening(endpoint))
 
@@ -322,7 +340,7 @@
                 if later := [opening for opening in openings.values() if opening > self.now]:
                     self.wake(destination, min(later))
                 return
-            if self.slots_out >= self.settings.slots:
+            if self.no_slot(choice):
                 return self.free_slots(destination)
             self.send(choice, (message for message in left if self.usable(choice, message)))
 
@@ -330,11 +348,17 @@
         self.starved[destination] = None
         if len(self.starved) > TURNS:
             return  # those before it see to it, and slots go round
-        # With all slots taken, call off what is overdue, or hung calls keep them. Harms slow unsafe ones.
+        if self.overdue_us is None:
+            self.overdue_us = self.call_off_late()
+        self.wake(destination, self.overdue_us)
+
+    def call_off_late(self) -> int:
+        """With all slots taken, call off what is overdue, once a round; when the next call will be."""
+        # Guards against hung calls that keep the slots. Harms slow unsafe ones.
         due = {key: it.start_us + it.endpoint.account.patience_us() for key, (_, it) in self.calls.items()}
         late = [key for key, at_us in due.items() if at_us <= self.now and self.settings.may_cancel]
         self.actions += [api.CallOff(*key) for key in late]
-        self.wake(destination, min([at for at in due.values() if at > self.now], default=self.now + SECOND))
+        return min([at for at in due.values() if at > self.now], default=self.now + SECOND)
 
     def scout(self, destination: Destination, endpoint: Endpoint) -> None:
         """Only unsafe messages wait for what swallows calls: a probe, or one of them, goes first."""
--- a/stoatusher/state.py
+++ b/stoatusher/state.py
@@ -126,6 +126,7 @@
     small_tables: set[str] = field(default_factory=set)  # kinds where a connection was not to be had
     rested: dict[Endpoint, None] = field(default_factory=dict)  # had a connection come free in this round
     starved: OrderedDict[Destination, None] = field(default_factory=OrderedDict)  # wait for a slot
+    overdue_us: int | None = None  # when the next call will be overdue, once this round has looked
     timers: dict[int, Message | int | None] = field(default_factory=dict)
     labels: Iterator[int] = field(default_factory=itertools.count)
     lanes: dict[str, list[Message]] = field(default_factory=dict)  # of each key, in the order taken
--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -12,7 +12,7 @@
 from stoatusher import folding
 from stoatusher import interface as api
 from stoatusher.account import FIRST_GUESS_US
-from stoatusher.decide import FEW
+from stoatusher.decide import FEW, FRESH_SHARE
 from stoatusher.interface import Result, State
 from stoatusher.lasting import LastingSender
 from stoatusher.settings import read_settings
@@ -339,6 +339,56 @@
     assert len(of(relay.step(*(relay.take() for _ in range(20))), api.Send)) == FEW
 
 
+def test_where_slots_are_short_what_woke_gets_one_call_until_one_is_delivered() -> None:
+    relay = Relay(FamilyInfo__Slots=4 * FEW, Bounds__MaxOpen=200)
+    numbers = range(4 * FEW)
+    new = (api.Entry(f"a{n}", "north", "plain", n, State.IN, 1.0) for n in (*numbers, 20))
+    relay.step(api.Listed(api.ListKind.PATCH, tuple(new)))
+    out: list[int] = []
+    for number in numbers:
+        refs = [next(relay.refs) for _ in range(FEW)]
+        taken = (api.Taken(ref, number, "safe", None, None, 10 * SECOND) for ref in refs)
+        out.append(len(of(relay.step(*taken), api.Send)))
+        relay.now += 1000
+    # Half of the slots go as many as one takes; the other half go one each, so that more are heard of.
+    assert out[:2] == [FEW, FEW]
+    assert out[2] <= 2
+    assert out[3 : 3 + FEW] == [1] * FEW
+    # The last tenth is for what delivers: one that has gets a slot there.
+    assert sum(out) == int(4 * FEW * FRESH_SHARE) + 1 < 4 * FEW
+    relay.endpoint("a20").done_us = relay.now
+    ref = next(relay.refs)
+    assert of(relay.step(api.Taken(ref, 20, "safe", None, None, 10 * SECOND)), api.Send)
+
+
+def test_where_slots_are_short_what_is_quick_goes_before_what_is_slow() -> None:
+    relay = Relay(FamilyInfo__Slots=2, Bounds__MaxOpen=200)
+    new = (api.Entry(f"a{n}", "north", "plain", n, State.IN, 1.0) for n in range(5))
+    relay.step(api.Listed(api.ListKind.PATCH, tuple(new)))
+    for number, usual_us in enumerate((1, 2 * SECOND, SECOND // 10, SECOND, 1)):
+        endpoint = relay.endpoint(f"a{number}")
+        endpoint.account.usual_us, endpoint.done_us = usual_us, relay.now
+    relay.step(*(api.Taken(1000 + n, n, "safe", None, None, 10 * SECOND) for n in (0, 4)))
+    assert len(relay.sent) == 2
+    relay.step(*(api.Taken(n, n, "safe", None, None, 10 * SECOND) for n in (1, 2, 3)))
+    relay.now += SECOND // 10
+    for ref in (1000, 1004):
+        relay.answer(ref, 0)
+    assert [ref for ref, *_ in relay.sent[2:]] == [2, 3]
+
+
+def test_overdue_calls_are_called_off_once_a_round() -> None:
+    relay = Relay(FamilyInfo__Slots=4, Bounds__MaxOpen=200)
+    new = (api.Entry(f"a{n}", "north", "plain", n, State.IN, 1.0) for n in range(20))
+    relay.step(api.Listed(api.ListKind.PATCH, tuple(new)))
+    refs = [next(relay.refs) for _ in range(20)]
+    relay.step(*(api.Taken(ref, at, "safe", None, None, 30 * SECOND) for at, ref in enumerate(refs)))
+    relay.now += 9 * SECOND
+    more = [api.Taken(next(relay.refs), at, "safe", None, None, 30 * SECOND) for at in range(10, 20)]
+    off = of(relay.step(*more), api.CallOff)
+    assert sorted((it.ref, it.attempt) for it in off) == sorted((it[0], it[1]) for it in relay.sent)
+
+
 def test_slots_go_round_among_many_that_wait_for_one() -> None:
     relay = Relay(FamilyInfo__Slots=4, Bounds__MaxOpen=5000)
     many = 4 * TURNS
