Keep with a message where its end is told, and with its end how it ended

Need: a message that comes by MQTT asks for its end at a topic, also after a crash, and a republish after the end is to hear the same one. The core told ends to one place and forgot how they were. Transports learn an endpoint's kind. Folders written before are read as they are.

--- a/amberlug/core/journal/log.py
+++ b/amberlug/core/journal/log.py
@@ -20,9 +20,11 @@
     ATTEMPT,
     DROPPED,
     ENDED,
+    HOW,
     OUTCOME,
     OUTCOMES,
     OWED,
+    REPLY,
     SYNCED,
     TAKE,
     Found,
@@ -51,6 +53,7 @@
     until_us: int
     until_ms: int
     ended_ms: int
+    end: End | None = None  # how, where that is known
 
 
 class Journal:
@@ -109,10 +112,11 @@
         now_us = self._clock_us()
         # Ordered by hand: a plain dict passes over all that was taken from its front, again and again.
         self._ended: OrderedDict[str, _Ended] = OrderedDict()
-        for name, (until_ms, ended_ms, number) in found.ended.items():
+        for name, (until_ms, ended_ms, number, end) in found.ended.items():
             # In this clock: the wall's may be set meanwhile. None counts longer than its message had left.
             left_ms = max(0, min(until_ms - now_ms, until_ms - ended_ms))
-            self._ended[name] = _Ended(now_us + min(left_ms * 1000, MAY_FORGET_US), until_ms, ended_ms)
+            until_us = now_us + min(left_ms * 1000, MAY_FORGET_US)
+            self._ended[name] = _Ended(until_us, until_ms, ended_ms, end)
             if number in segments:
                 segments[number].ends.append(name)
         self._active: Segment | None = None
@@ -194,6 +198,10 @@
         ended = self._ended.get(name)
         return ended is not None and ended.until_us > self._clock_us()
 
+    def ended(self, name: str) -> End | None:
+        """How a message ended whose name still counts, where that is known."""
+        return self._ended[name].end if self._counts(name) else None
+
     def fits(self, size: int) -> bool:
         """Whether a message with a body of that size can be held, and all that is to be written of it."""
         failed = self._syncing is not None and self._syncing.failed
@@ -206,11 +214,19 @@
     def take(self, message: Message, now_ms: int) -> None:
         self._write(it.TAKEN, message.name, self._take_record(message, now_ms))
 
+    def reply(self, message: Message) -> None:
+        if not self.fits(len(message.reply)):  # what is kept for messages that are held is not for this
+            raise OSError(errno.ENOSPC, "no room in the journal")
+        self._write(it.REPLY, message.name, _reply_record(message))
+
     def _take_record(self, message: Message, now_ms: int) -> bytes:
         self._order += 1
         head = TAKE.pack(self._order, now_ms, max(0, message.deadline_ms), message.destination)
-        fields = f"[{_text(message.message_class)},{_text(message.tenant)},{_text(message.key)}]\n"
-        return head + fields.encode() + message.body
+        fields = f"[{_text(message.message_class)},{_text(message.tenant)},{_text(message.key)}"
+        if message.replies:
+            told = message.replies, message.noticed, message.reply.decode("latin-1")
+            fields += f",{_encode(told)}"
+        return head + fields.encode() + b"]\n" + message.body
 
     def attempt(self, attempt: Attempt, now_ms: int) -> None:
         rest = ATTEMPT.pack(attempt.number, now_ms) + attempt.endpoint.encode()
@@ -239,13 +255,15 @@
         self._write(it.OWED, message.name, self._owed_record(message, end))
 
     def _owed_record(self, message: Message, end: End) -> bytes:
-        return OWED.pack(OUTCOMES.index(end.outcome), end.retry_ms, max(0, message.deadline_ms))
+        record = OWED.pack(OUTCOMES.index(end.outcome), end.retry_ms, max(0, message.deadline_ms))
+        return record + (_reply_record(message) if message.replies else b"")
 
-    def end(self, name: str, until_ms: int, now_ms: int) -> None:
+    def end(self, name: str, until_ms: int, now_ms: int, how: End | None = None) -> None:
         self._forget(name)
         now_us, until_ms = self._clock_us(), max(0, until_ms)
-        self._ended[name] = _Ended(now_us + max(0, until_ms - now_ms) * 1000, until_ms, now_ms)
-        self._note(it.ENDED, name, ENDED.pack(until_ms, now_ms))
+        ended = _Ended(now_us + max(0, until_ms - now_ms) * 1000, until_ms, now_ms, how)
+        self._ended[name] = ended
+        self._note(it.ENDED, name, _ended_record(ended))
         self._forget_names(now_us)
 
     def _forget_names(self, now_us: int) -> None:
@@ -474,8 +492,7 @@
 
     def _copy_end(self, name: str) -> None:
         if self._counts(name):
-            ended = self._ended[name]
-            self._append(it.ENDED, name, ENDED.pack(ended.until_ms, ended.ended_ms))
+            self._append(it.ENDED, name, _ended_record(self._ended[name]))
 
     def _copy(self, name: str, oldest: Segment) -> None:
         """Write forward what the oldest segment has of one message, if that has not ended."""
@@ -538,6 +555,15 @@
     return "null" if value is None else encode_basestring_ascii(value)
 
 
+def _ended_record(ended: _Ended) -> bytes:
+    record, end = ENDED.pack(ended.until_ms, ended.ended_ms), ended.end
+    return record if end is None else record + HOW.pack(OUTCOMES.index(end.outcome), end.retry_ms)
+
+
+def _reply_record(message: Message) -> bytes:
+    return REPLY.pack(message.replies, message.noticed) + message.reply
+
+
 def _memory_record(memory: Memory) -> bytes:
     rows = [astuple(seen) for seen in memory.seen]
     return _encode({"wall": memory.wall_ms, "clock": memory.clock_us, "seen": rows}).encode()
--- a/amberlug/core/journal/recovery.py
+++ b/amberlug/core/journal/recovery.py
@@ -19,6 +19,8 @@
 OUTCOME = struct.Struct(">H")
 OWED = struct.Struct(">BIQ")
 ENDED = struct.Struct(">QQ")
+HOW = struct.Struct(">BI")  # behind that, where it is known: how it ended, and when to come again
+REPLY = struct.Struct(">H?")  # how often it was changed, whether the platform is told; the address follows
 DROPPED = struct.Struct(">Q")
 SYNCED = struct.Struct(">QQ")
 OUTCOMES = (Outcome.DELIVERED, Outcome.HANDED_BACK, Outcome.GIVEN_UP)  # by their number in a record
@@ -68,6 +70,7 @@
     tried: dict[int, Tried] = field(default_factory=dict)
     end: End | None = None
     until_ms: int = 0
+    reply: tuple[int, bool, bytes] = (0, True, b"")
     places: tuple[Place, ...] = ()  # of its records
 
     @property
@@ -100,8 +103,8 @@
     segments: list[Segment] = field(default_factory=list)
     stray: list[str] = field(default_factory=list)  # files that are not needed
     messages: dict[str, Raw] = field(default_factory=dict)
-    # Until when the name of an ended message counts, when it ended, and in which segment that stands.
-    ended: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+    # Until when the name of an ended message counts, when it ended, in which segment that stands, and how.
+    ended: dict[str, tuple[int, int, int, End | None]] = field(default_factory=dict)
     memory: Memory = field(default_factory=lambda: Memory(0, 0))
     memory_at: tuple[int, int] = (0, 0)
     damage: list[Damage] = field(default_factory=list)
@@ -245,8 +248,8 @@
     kind, name, rest = record.kind, record.name, record.rest
     if kind == it.ENDED:
         found.messages.pop(name, None)
-        until_ms, ended_ms = ENDED.unpack(rest)
-        found.ended[name] = until_ms, ended_ms, segment
+        until_ms, ended_ms = ENDED.unpack_from(rest)
+        found.ended[name] = until_ms, ended_ms, segment, _how(name, rest[ENDED.size :])
     elif kind == it.MEMORY:
         found.memory, found.memory_at = _memory(rest), (segment, record.offset)
     elif kind in (it.DROPPED, it.SYNCED):
@@ -270,12 +273,31 @@
         (number,) = OUTCOME.unpack_from(rest)
         raw.tried.setdefault(number, Tried(UNKNOWN, 0)).result = api.Result(rest[OUTCOME.size :].decode())
     elif kind == it.OWED:
-        outcome, retry_ms, raw.until_ms = OWED.unpack(rest)
-        raw.end, raw.take, raw.tried, raw.places = End(record.name, OUTCOMES[outcome], retry_ms), None, {}, ()
+        outcome, retry_ms, raw.until_ms = OWED.unpack_from(rest)
+        if told := rest[OWED.size :]:
+            raw.reply = reply_of(told)
+        _, noticed, reply = raw.reply
+        raw.end = End(record.name, OUTCOMES[outcome], retry_ms, reply=reply, noticed=noticed)
+        raw.take, raw.tried, raw.places = None, {}, ()
+    elif kind == it.REPLY:
+        raw.reply = max(raw.reply, reply_of(rest))  # copies of records may come in another order
     else:
         raise ValueError(f"kind {kind!r}")
 
 
+def _how(name: str, rest: bytes) -> End | None:
+    if not rest:
+        return None
+    outcome, retry_ms = HOW.unpack(rest)
+    return End(name, OUTCOMES[outcome], retry_ms)
+
+
+def reply_of(rest: bytes) -> tuple[int, bool, bytes]:
+    """How often the address was changed, whether the platform is told, and the address."""
+    count, noticed = REPLY.unpack_from(rest)
+    return count, noticed, rest[REPLY.size :]
+
+
 def _memory(rest: bytes) -> Memory:
     fields: dict[str, Any] = json.loads(rest)
     return Memory(fields["wall"], fields["clock"], tuple(api.Seen(*row) for row in fields["seen"]))
@@ -290,9 +312,11 @@
             going.append((raw.order, _going(found, name, raw, raw.take)))
             continue
         # One whose body was lost can't go on: whoever waits for it is told so.
-        end = raw.end or End(name, Outcome.GIVEN_UP)
+        replies, noticed, reply = raw.reply
+        end = raw.end or End(name, Outcome.GIVEN_UP, reply=reply, noticed=noticed)
         until_ms = raw.until_ms or now_ms
         message = Message(name, "", None, 0, None, b"", until_ms, taken=True, over=True)
+        message.replies, message.noticed, message.reply = replies, noticed, reply
         owed[name] = Held(message, end=end)
     going.sort(key=lambda pair: pair[0])
     return owed | {one.message.name: one for _, one in going}
@@ -301,8 +325,11 @@
 def _going(found: Found, name: str, raw: Raw, take: bytes) -> Held:
     order, taken_ms, until_ms, destination = TAKE.unpack_from(take)
     head, _, body = take[TAKE.size :].partition(b"\n")
-    message_class, tenant, key = json.loads(head)
+    message_class, tenant, key, *told = json.loads(head)
+    for count, noticed, reply in told:
+        raw.reply = max(raw.reply, (count, noticed, reply.encode("latin-1")))
     message = Message(name, message_class, tenant, destination, key, body, until_ms, taken=True)
+    message.replies, message.noticed, message.reply = raw.reply
     one = Held(message, raw.tried, taken_ms=taken_ms)
     if order <= found.doubt:
         # Guards against a second effect: an attempt whose record was lost may have run, at any time since.
--- a/amberlug/core/messages.py
+++ b/amberlug/core/messages.py
@@ -57,6 +57,11 @@
     over: bool = False
     attempts: int = 0
     exchanges: list[Exchange] = field(default_factory=list)
+    # Where its front tells its end, if anywhere: only that front reads it. Whether the platform is told, too;
+    # and how often that was changed.
+    reply: bytes = b""
+    noticed: bool = True
+    replies: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -99,6 +104,8 @@
     outcome: Outcome
     retry_ms: int = 0
     known: bool = False  # whoever handed it in knows it already: an endpoint said that it is over
+    reply: bytes = b""  # of its message
+    noticed: bool = True
 
     @property
     def retry_after(self) -> float:
--- a/amberlug/core/node.py
+++ b/amberlug/core/node.py
@@ -19,6 +19,8 @@
 from stoatusher.membership import BATCH, Comparison
 
 BUSY_RETRY_US = SECOND  # when a client may come again that this relay has no room for
+REPLIES_MOST = 100  # how often a message's end may be asked for at another place: each is a record
+CROWDED = 0.8  # part of what can be held that fronts may fill whose senders need not hear of a hand-back
 CLOSED_RETRY_US = SECOND // 2  # the same from one that closes: other relays are there, and known by then
 
 
@@ -44,7 +46,8 @@
         self._messages: dict[int, Message] = {}
         self._names: dict[str, Message] = {}
         self._attempts: dict[tuple[int, int], Attempt] = {}
-        self._owed: dict[str, int] = {}  # until when the name of each that ended counts as taken
+        # Until when the name of each that ended counts as taken, and its end, which is to be acknowledged.
+        self._owed: dict[str, tuple[int, End]] = {}
         self._located: dict[str, str] = {}  # addresses that the transport was told
         self._events: list[api.Event] = []
         self._round_at: Handle | None = None
@@ -69,7 +72,7 @@
         self._events.append(api.Remembered(self._remembered(now_ms)))
         for held in self._journal.held.values():
             if held.end is not None:
-                self._owed[held.message.name] = held.message.deadline_ms
+                self._owed[held.message.name] = held.message.deadline_ms, held.end
                 self._journal.after(partial(self._told, held.end))
             else:
                 self._resume(held, now_ms)
@@ -138,6 +141,11 @@
         known = self._names.get(name)
         return known.taken if known is not None else self._journal.knows(name)
 
+    @property
+    def crowded(self) -> bool:
+        """Whether so much is held that the module will soon have to hand something back."""
+        return len(self._messages) + 1 > self._settings.max_open * CROWDED
+
     def serves(self, destination: int) -> bool:
         """Whether a list has named that destination."""
         return self._sender.serves(destination)
@@ -149,20 +157,41 @@
         """
         if (known := self._names.get(message.name)) is not None and not known.taken:
             known.exchanges.append(exchange)
+            _reply_too(known, message)
         elif known is not None or self._journal.knows(message.name):
-            self._journal.after(partial(exchange.settle, None))  # taken on before: never taken twice
+            self._again(message, exchange)  # taken on before: never taken twice
         elif self.closing:
             exchange.settle(Refusal(Reason.CLOSING, CLOSED_RETRY_US))
         elif len(self._messages) >= self._settings.max_open:
             exchange.settle(Refusal(Reason.NO_ROOM, BUSY_RETRY_US))
-        elif not self._journal.fits(len(message.body)):
-            exchange.settle(Refusal(Reason.NO_ROOM, self._journal.retry_us(len(message.body))))
+        elif not self._journal.fits(size := len(message.body) + 2 * len(message.reply)):  # its end has it too
+            exchange.settle(Refusal(Reason.NO_ROOM, self._journal.retry_us(size)))
             self._work()
         else:
             message.exchanges.append(exchange)
             self._enlist(message)
             self._tell(self._taken(message, left_us, waited_us))
 
+    def _again(self, message: Message, exchange: Exchange) -> None:
+        """Answer for what was taken on before, and have its one end told also where it comes from now."""
+        known = self._names.get(message.name)
+        before = (known.reply, known.noticed, known.replies) if known is not None else (b"", True, 0)
+        if known is not None and _reply_too(known, message):
+            try:
+                if known.replies > REPLIES_MOST:
+                    raise OSError(f"message {message.name} is handed in from everywhere")
+                self._journal.reply(known)
+            except OSError as error:
+                log(f"journal: {error}")
+                known.reply, known.noticed, known.replies = before
+                exchange.settle(Refusal(Reason.NO_ROOM, BUSY_RETRY_US))
+                return
+        self._journal.after(partial(exchange.settle, None))
+        if known is None and message.reply:
+            owed = self._owed.get(message.name)
+            if (end := owed[1] if owed is not None else self._journal.ended(message.name)) is not None:
+                self._journal.after(partial(self._told, replace(end, reply=message.reply)))
+
     def hung_up(self, exchange: Exchange) -> None:
         """Withdraw a message whose every client left before it was settled."""
         for message in [it for it in self._messages.values() if exchange in it.exchanges]:
@@ -209,7 +238,8 @@
         entry = self._sender.members.get(endpoint)
         if entry is not None and self._located.get(endpoint) != entry.where:
             self._located[endpoint] = entry.where
-            self._transport.locate(endpoint, address(entry.where) if entry.where else None)
+            where = address(entry.where) if entry.where else None
+            self._transport.locate(endpoint, where, entry.kind)
 
     def _forget_sleeping(self) -> None:
         """Forget where endpoints are whose destinations sleep."""
@@ -247,7 +277,9 @@
         )
 
     def _acknowledged(self, name: str) -> None:
-        self._journal.end(name, self._owed.pop(name, 0), self._clock.wall_ms())
+        if (owed := self._owed.pop(name, None)) is not None:  # else it was told once more
+            until_ms, end = owed
+            self._journal.end(name, until_ms, self._clock.wall_ms(), end)
 
     # The round.
 
@@ -439,11 +471,13 @@
     def _finish(self, message: Message, end: End) -> None:
         """Record a message's one end, then have it told."""
         self._forget(message)
+        if message.replies:
+            end = replace(end, reply=message.reply, noticed=message.noticed)
         if self._ends.owed(end):
-            self._owed[message.name] = message.deadline_ms
+            self._owed[message.name] = message.deadline_ms, end
             self._journal.owe(message, end)
         else:
-            self._journal.end(message.name, message.deadline_ms, self._clock.wall_ms())
+            self._journal.end(message.name, message.deadline_ms, self._clock.wall_ms(), end)
         if self._observer is not None:
             self._observer.ended(message, end)
         self._journal.after(partial(self._told, end))
@@ -460,6 +494,15 @@
         self._names.pop(message.name, None)
 
 
+def _reply_too(known: Message, again: Message) -> bool:
+    """Have an end told where a message came from once more: whether that changes anything."""
+    reply, noticed = again.reply or known.reply, known.noticed or again.noticed
+    if (reply, noticed) == (known.reply, known.noticed):
+        return False
+    known.reply, known.noticed, known.replies = reply, noticed, known.replies + 1
+    return True
+
+
 def _settled(exchanges: Sequence[Exchange], refusal: Refusal | None) -> None:
     for exchange in exchanges:
         exchange.settle(refusal)
--- a/amberlug/core/ports.py
+++ b/amberlug/core/ports.py
@@ -74,8 +74,8 @@
     def probe(self, endpoint: str, ended: Callable[[Ending], None]) -> None:
         """Ask an endpoint whether it is well."""
 
-    def locate(self, endpoint: str, address: Address | None) -> None:
-        """Learn where an endpoint is, or that it wants nothing new."""
+    def locate(self, endpoint: str, address: Address | None, kind: str = "") -> None:
+        """Learn where an endpoint is and of which kind, or that it wants nothing new."""
 
     def close_idle(self, endpoint: str) -> None:
         """Close the connections to an endpoint that carry no call."""
@@ -171,6 +171,9 @@
     def take(self, message: Message, now_ms: int) -> None:
         """Record a message before it is answered for; `OSError` where it is not recorded."""
 
+    def reply(self, message: Message) -> None:
+        """Record where a message's end is to be told; `OSError` where it is not recorded."""
+
     def attempt(self, attempt: Attempt, now_ms: int) -> None:
         """Record an attempt before its first byte goes out; `OSError` where it is not recorded."""
 
@@ -180,8 +183,11 @@
     def owe(self, message: Message, end: End) -> None:
         """Record an end that is still to be acknowledged."""
 
-    def end(self, name: str, until_ms: int, now_ms: int) -> None:
-        """Record that nothing more is owed for a message."""
+    def end(self, name: str, until_ms: int, now_ms: int, how: End | None = None) -> None:
+        """Record that nothing more is owed for a message, and how it ended."""
+
+    def ended(self, name: str) -> End | None:
+        """How a message ended whose name still counts, where that is known."""
 
     def remember(self, memory: Memory) -> None:
         """Record what the next life should know of the endpoints."""
--- a/amberlug/http/calls.py
+++ b/amberlug/http/calls.py
@@ -100,7 +100,7 @@
         self._links: set[Link] = set()
         self.dialing = 0
 
-    def locate(self, endpoint: str, address: Address | None) -> None:
+    def locate(self, endpoint: str, address: Address | None, kind: str = "") -> None:
         """Learn where an endpoint is, or that it is gone."""
         if address != self._addresses.get(endpoint):
             self.close_idle(endpoint)
--- a/amberlug/library/transport.py
+++ b/amberlug/library/transport.py
@@ -92,7 +92,7 @@
         """Say that nothing was asked: a host's coroutine only delivers."""
         asyncio.get_running_loop().call_soon(ended, Ending(Result.UNSENT))
 
-    def locate(self, endpoint: str, address: Address | None) -> None:
+    def locate(self, endpoint: str, address: Address | None, kind: str = "") -> None:
         """Leave addresses to the host."""
 
     def close_idle(self, endpoint: str) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -73,6 +73,7 @@
     port: int = field(default_factory=free_port)
     options: dict[str, Any] = field(default_factory=dict)  # of an operator, in the configuration
     blocks: int = 0  # of 512 bytes, that a file of the relay's may have; 0 for any number
+    environ: dict[str, str] = field(default_factory=dict)  # further variables
     process: asyncio.subprocess.Process | None = None
 
     @property
@@ -94,6 +95,7 @@
         variables = os.environ | {
             "ROUTER_CONFIG": str(self.config), "ROUTER_STATE": str(state),
             "ROUTER_DISCOVERY": f"127.0.0.1:{self.platform.port}",
+            **self.environ,
         }  # fmt: skip
         command = [sys.executable, "-m", "amberlug"]
         if self.blocks:
@@ -111,8 +113,10 @@
         assert self.process is not None
         assert self.process.stderr is not None
         async with asyncio.timeout(PATIENCE):
+            heard = b""
             while text.encode() not in (line := await self.process.stderr.readline()):
-                assert line, f"the relay ended before it said {text!r}"
+                heard += line
+                assert line, f"the relay ended before it said {text!r}; it said {heard!r}"
 
     def signal(self, number: signal.Signals) -> None:
         assert self.process is not None
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -17,7 +17,7 @@
 from amberlug.core.journal import FolderDisk, Journal, room
 from amberlug.core.journal import records as rec
 from amberlug.core.messages import Attempt, End, Ending, Message, Outcome
-from amberlug.core.ports import Held, Memory
+from amberlug.core.ports import Memory
 from stoatusher import interface as api
 from stoatusher.interface import Result
 from tests.faulty import DiedError, FaultyDisk
@@ -71,7 +71,12 @@
     def attempt(self, name: str) -> None:
         self.now, truth = name, self.truths[name]
         number = len(truth.attempts)
-        self.journal.attempt(attempt(truth.message, number), NOW)
+        try:
+            self.journal.attempt(attempt(truth.message, number), NOW)
+        except OSError as error:  # then it is not made
+            if error.errno != errno.ENOSPC:
+                raise
+            return
         truth.attempts[number] = None
 
     def outcome(self, name: str, result: Result) -> None:
@@ -82,13 +87,21 @@
 
     def owe(self, name: str, outcome: Outcome) -> None:
         self.now, truth = name, self.truths[name]
-        truth.owed = End(name, outcome)
+        truth.owed = End(name, outcome, reply=truth.message.reply, noticed=truth.message.noticed)
         self.journal.owe(truth.message, truth.owed)
 
     def end(self, name: str) -> None:
         self.now, truth = name, self.truths[name]
         truth.over = True
-        self.journal.end(name, truth.message.deadline_ms, NOW)
+        self.journal.end(name, truth.message.deadline_ms, NOW, truth.owed or End(name, Outcome.DELIVERED))
+
+    def reply(self, name: str, reply: bytes) -> None:
+        """Have the end told at another place from now on."""
+        self.now, one = name, self.truths[name].message
+        if not self.journal.fits(len(reply)):
+            return
+        one.replies, one.noticed, one.reply = one.replies + 1, False, reply
+        self.journal.reply(one)
 
     def work(self) -> None:
         self.now = ""
@@ -97,15 +110,19 @@
     def check(self, found: Journal) -> None:
         """Nothing that was promised is forgotten, and nothing was made up."""
         for name, truth in self.truths.items():
-            self._check_one(name, truth, found.held.get(name), found.knows(name))
+            self._check_one(name, truth, found)
         assert set(found.held) <= {*self.truths, self.now}
         assert found.damage == []
 
-    def _check_one(self, name: str, truth: Truth, one: Held | None, known: bool) -> None:
-        crossing = name == self.now
+    def _check_one(self, name: str, truth: Truth, found: Journal) -> None:
+        one, known, crossing = found.held.get(name), found.knows(name), name == self.now
         assert known  # never taken twice
         if truth.over:
             assert one is None or crossing
+            if one is None:
+                how = found.ended(name)
+                assert how is not None
+                assert how.outcome is (truth.owed.outcome if truth.owed else Outcome.DELIVERED)
         elif truth.owed is not None and not (crossing and one is not None and one.end is None):
             assert one is not None
             assert one.end == truth.owed
@@ -113,6 +130,9 @@
             assert one is not None
             assert one.message.body == truth.message.body
             assert (one.message.key, one.message.destination) == (truth.message.key, 7)
+            told = one.message.replies, one.message.noticed, one.message.reply
+            promised = truth.message.replies, truth.message.noticed, truth.message.reply
+            assert told == promised or crossing
             tried = {number: it.result for number, it in one.tried.items()}
             # An attempt that was told to leave is there; one that was under way may be, with no outcome.
             for number, result in truth.attempts.items():
@@ -131,8 +151,11 @@
         world.take(name, bodies)
         if name not in world.truths:
             continue
+        world.reply(name, b"hall\0ends/a\0\xff")
         world.attempt(name)
         world.outcome(name, Result.REFUSED)
+        if count % 4 == 0:
+            world.reply(name, b"listener\0ends/b\0")
         world.attempt(name)
         if count % 3 == 0:
             world.outcome(name, Result.ERROR)
@@ -223,7 +246,9 @@
                 world.attempt(chance.choice(open_ones))
             elif step < 0.75:
                 world.end(chance.choice(open_ones))
-            elif step < 0.85:
+            elif step < 0.8:
+                world.reply(chance.choice(open_ones), b"%d" % count)
+            elif step < 0.88:
                 world.owe(chance.choice(open_ones), chance.choice(list(Outcome)))
             world.work()
 
