Read and write MQTT 5.0 and 3.1.1 without I/O

Need: no library offers the server's side of both versions as a codec, and client libraries publish again by themselves what the decision module must decide about (docs/design/0004-mqtt.md).

--- /dev/null
+++ b/amberlug/mqtt/packets.py
@@ -0,0 +1,399 @@
+"""MQTT control packets, of 5.0 and 3.1.1, as values: read from bytes and written to them, without I/O.
+
+Source: OASIS MQTT 5.0 and 3.1.1, section 3 of each. A packet that breaks the protocol raises `MqttError`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from amberlug.mqtt import fields, properties
+from amberlug.mqtt.fields import MqttError, Reader, malformed
+from amberlug.mqtt.properties import NONE, PROTOCOL_ERROR, P, Properties
+from amberlug.mqtt.topics import is_filter, is_topic
+
+V3, V5 = 4, 5  # protocol levels of 3.1.1 and 5.0
+UNSUPPORTED_VERSION = 0x84
+INVALID_TOPIC = 0x90
+TOO_LARGE = 0x95
+
+
+class Kind(IntEnum):
+    """Control packet types."""
+
+    CONNECT = 1
+    CONNACK = 2
+    PUBLISH = 3
+    PUBACK = 4
+    PUBREC = 5
+    PUBREL = 6
+    PUBCOMP = 7
+    SUBSCRIBE = 8
+    SUBACK = 9
+    UNSUBSCRIBE = 10
+    UNSUBACK = 11
+    PINGREQ = 12
+    PINGRESP = 13
+    DISCONNECT = 14
+    AUTH = 15
+
+
+K = Kind
+_ANY = {P.REASON_STRING, P.USER}
+_ALLOWED: dict[Kind, set[P]] = {
+    K.CONNECT: {P.SESSION_EXPIRY, P.RECEIVE_MAXIMUM, P.MAXIMUM_PACKET_SIZE, P.TOPIC_ALIAS_MAXIMUM,
+                P.REQUEST_RESPONSE, P.REQUEST_PROBLEM, P.USER, P.AUTH_METHOD, P.AUTH_DATA},
+    K.CONNACK: {P.SESSION_EXPIRY, P.RECEIVE_MAXIMUM, P.MAXIMUM_QOS, P.RETAIN_AVAILABLE,
+                P.MAXIMUM_PACKET_SIZE, P.ASSIGNED_CLIENT_ID, P.TOPIC_ALIAS_MAXIMUM, P.WILDCARD_AVAILABLE,
+                P.SUBSCRIPTION_ID_AVAILABLE, P.SHARED_AVAILABLE, P.SERVER_KEEP_ALIVE, P.RESPONSE_INFORMATION,
+                P.SERVER_REFERENCE, P.AUTH_METHOD, P.AUTH_DATA, *_ANY},
+    K.PUBLISH: {P.PAYLOAD_FORMAT, P.MESSAGE_EXPIRY, P.TOPIC_ALIAS, P.RESPONSE_TOPIC, P.CORRELATION_DATA,
+                P.USER, P.SUBSCRIPTION_ID, P.CONTENT_TYPE},
+    K.SUBSCRIBE: {P.SUBSCRIPTION_ID, P.USER},
+    K.UNSUBSCRIBE: {P.USER},
+    K.DISCONNECT: {P.SESSION_EXPIRY, P.SERVER_REFERENCE, *_ANY},
+}  # fmt: skip
+_WILL = {P.WILL_DELAY, P.PAYLOAD_FORMAT, P.MESSAGE_EXPIRY, P.CONTENT_TYPE, P.RESPONSE_TOPIC,
+         P.CORRELATION_DATA, P.USER}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Connect:
+    """A client's first packet. A will is read and not kept: nothing here publishes one."""
+
+    client_id: str
+    version: int = V5
+    clean: bool = True
+    keep_alive: int = 60  # seconds; 0 for none
+    username: str | None = None
+    password: bytes | None = None
+    will: bool = False
+    properties: Properties = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Connack:
+    """The answer to it. `code` is a reason code of 5.0, or a return code of 3.1.1."""
+
+    code: int = 0
+    session_present: bool = False
+    properties: Properties = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """A message; `packet_id` is 0 at QoS 0."""
+
+    topic: str
+    payload: bytes
+    qos: int = 0
+    packet_id: int = 0
+    dup: bool = False
+    retain: bool = False
+    properties: Properties = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Ack:
+    """PUBACK, PUBREC, PUBREL or PUBCOMP."""
+
+    kind: Kind
+    packet_id: int
+    code: int = 0
+    properties: Properties = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """One filter of a SUBSCRIBE; `retain` tells when retained messages are wanted (0 always, 2 never)."""
+
+    filter: str
+    qos: int
+    no_local: bool = False
+    as_published: bool = False
+    retain: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """What a client wants to hear."""
+
+    packet_id: int
+    wanted: tuple[Wanted, ...]
+    properties: Properties = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Unsubscribe:
+    """What it no longer wants to hear."""
+
+    packet_id: int
+    filters: tuple[str, ...]
+    properties: Properties = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """SUBACK or UNSUBACK: a code for each filter."""
+
+    kind: Kind
+    packet_id: int
+    codes: tuple[int, ...]
+    properties: Properties = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """PINGREQ or PINGRESP."""
+
+    kind: Kind
+
+
+@dataclass(frozen=True, slots=True)
+class Disconnect:
+    """The last packet of either side; of a client's alone in 3.1.1."""
+
+    code: int = 0
+    properties: Properties = field(default_factory=dict)
+
+
+Packet = Connect | Connack | Publish | Ack | Subscribe | Unsubscribe | Granted | Ping | Disconnect
+
+
+# Writing.
+
+
+def encode(packet: Packet, version: int) -> bytes:
+    """The bytes of a packet for a connection of that version."""
+    flags, body = 0, b""
+    match packet:
+        case Publish():
+            return _publish(packet, version)
+        case Ack():
+            kind, flags = packet.kind, 2 * (packet.kind is K.PUBREL)
+            body = fields.u16(packet.packet_id) + _reason(packet.code, packet.properties, version)
+        case Connect():
+            kind, body = K.CONNECT, _connect(packet)
+        case Connack():
+            kind = K.CONNACK
+            body = bytes((packet.session_present, packet.code)) + _own(packet.properties, version)
+        case Subscribe():
+            kind, flags = K.SUBSCRIBE, 2
+            filters = (fields.text(it.filter) + bytes((_options(it),)) for it in packet.wanted)
+            body = fields.u16(packet.packet_id) + _own(packet.properties, version) + b"".join(filters)
+        case Unsubscribe():
+            kind, flags = K.UNSUBSCRIBE, 2
+            body = fields.u16(packet.packet_id) + _own(packet.properties, version)
+            body += b"".join(map(fields.text, packet.filters))
+        case Granted():
+            kind, body = packet.kind, fields.u16(packet.packet_id) + _own(packet.properties, version)
+            body += bytes(packet.codes) if version == V5 or kind is K.SUBACK else b""
+        case Ping():
+            kind = packet.kind
+        case Disconnect():
+            kind, body = K.DISCONNECT, _reason(packet.code, packet.properties, version)
+    return bytes((kind << 4 | flags,)) + fields.variable(len(body)) + body
+
+
+def _own(values: Properties, version: int) -> bytes:
+    return properties.encode(values) if version == V5 else b""
+
+
+def _reason(code: int, values: Properties, version: int) -> bytes:
+    if version != V5 or not (code or values):
+        return b""
+    return bytes((code,)) + (properties.encode(values) if values else b"")
+
+
+def _publish(packet: Publish, version: int) -> bytes:
+    flags = packet.dup << 3 | packet.qos << 1 | packet.retain
+    head = fields.text(packet.topic)
+    if packet.qos:
+        head += fields.u16(packet.packet_id)
+    if version == V5:
+        head += properties.encode(packet.properties) if packet.properties else b"\0"
+    first = bytes((K.PUBLISH << 4 | flags,))
+    return first + fields.variable(len(head) + len(packet.payload)) + head + packet.payload
+
+
+def _connect(packet: Connect) -> bytes:
+    flags = packet.clean << 1 | (packet.username is not None) << 7 | (packet.password is not None) << 6
+    body = fields.text("MQTT") + bytes((packet.version, flags)) + fields.u16(packet.keep_alive)
+    body += _own(packet.properties, packet.version) + fields.text(packet.client_id)
+    if packet.username is not None:
+        body += fields.text(packet.username)
+    if packet.password is not None:
+        body += fields.binary(packet.password)
+    return body
+
+
+def _options(wanted: Wanted) -> int:
+    return wanted.qos | wanted.no_local << 2 | wanted.as_published << 3 | wanted.retain << 4
+
+
+# Reading.
+
+
+class Decoder:
+    """Cuts bytes into packets. `version` is that of the connection, which a server learns by CONNECT.
+
+    `most` bounds a whole packet, in bytes. Packets that came before one that breaks the protocol are read.
+    """
+
+    def __init__(self, most: int, version: int = 0) -> None:
+        self.version = version
+        self._most = most
+        self._data = bytearray()
+
+    @property
+    def begun(self) -> bool:
+        """Whether a packet has begun and not ended."""
+        return bool(self._data)
+
+    def feed(self, data: bytes) -> None:
+        """Take in what has come."""
+        self._data += data
+
+    def next(self) -> Packet | None:
+        """The next whole packet; None where more must come first."""
+        if (found := self._size()) is None:
+            return None
+        head, size = found
+        if len(self._data) < head + size:
+            return None
+        first, body = self._data[0], bytes(self._data[head : head + size])
+        del self._data[: head + size]
+        packet = self._read(first, Reader(body))
+        if isinstance(packet, Connect):
+            self.version = packet.version
+        return packet
+
+    def _size(self) -> tuple[int, int] | None:
+        """How long the packet's head is, and how much follows it."""
+        size = 0
+        for count, byte in enumerate(self._data[1:5]):
+            size |= (byte & 0x7F) << 7 * count
+            if size + 2 > self._most:
+                raise MqttError(TOO_LARGE, f"a packet of more than {self._most} bytes")
+            if not byte & 0x80:
+                return count + 2, size
+        if len(self._data) >= 5:
+            raise malformed("a length of more than four bytes")
+        return None
+
+    def _read(self, first: int, reader: Reader) -> Packet:
+        number, flags = first >> 4, first & 0x0F
+        if not number:
+            raise malformed("packet type 0")
+        kind = Kind(number)
+        if not self.version and kind is not K.CONNECT:
+            raise MqttError(PROTOCOL_ERROR, "a packet ahead of CONNECT")
+        if kind is K.PUBLISH:
+            return self._publish(flags, reader)
+        if flags != 2 * (kind in (K.PUBREL, K.SUBSCRIBE, K.UNSUBSCRIBE)):
+            raise malformed(f"flags {flags:#x} of a {kind.name}")
+        packet = self._other(kind, reader)
+        reader.finish()
+        return packet
+
+    def _other(self, kind: Kind, reader: Reader) -> Packet:
+        match kind:
+            case K.CONNECT:
+                return _read_connect(reader)
+            case K.CONNACK:
+                flags, code = reader.u8(), reader.u8()
+                if flags > 1:
+                    raise malformed("flags of a CONNACK")
+                return Connack(code, bool(flags), self._own(kind, reader))
+            case K.PUBACK | K.PUBREC | K.PUBREL | K.PUBCOMP:
+                packet_id = _packet_id(reader)
+                return Ack(kind, packet_id, *self._reason(_ANY, reader))
+            case K.SUBSCRIBE:
+                return self._subscribe(reader)
+            case K.UNSUBSCRIBE:
+                packet_id, own = _packet_id(reader), self._own(kind, reader)
+                filters: list[str] = []
+                while reader.left or not filters:
+                    filters.append(_filter(reader))
+                return Unsubscribe(packet_id, tuple(filters), own)
+            case K.SUBACK | K.UNSUBACK:
+                packet_id = _packet_id(reader)
+                own = properties.read(reader, _ANY) if self.version == V5 else NONE
+                return Granted(kind, packet_id, tuple(reader.rest()), own)
+            case K.DISCONNECT:
+                return Disconnect(*self._reason(_ALLOWED[K.DISCONNECT], reader))
+            case K.PINGREQ | K.PINGRESP:
+                return Ping(kind)
+            case _:
+                raise MqttError(PROTOCOL_ERROR, f"{kind.name} was not asked for")
+
+    def _own(self, kind: Kind, reader: Reader) -> Properties:
+        return properties.read(reader, _ALLOWED[kind]) if self.version == V5 else NONE
+
+    def _reason(self, allowed: set[P], reader: Reader) -> tuple[int, Properties]:
+        if self.version != V5 or not reader.left:
+            return 0, NONE
+        code = reader.u8()
+        return code, properties.read(reader, allowed) if reader.left else NONE
+
+    def _publish(self, flags: int, reader: Reader) -> Publish:
+        qos, dup, retain = flags >> 1 & 3, bool(flags & 8), bool(flags & 1)
+        if qos == 3 or (dup and not qos):
+            raise malformed("flags of a PUBLISH")
+        topic = reader.text()
+        packet_id = _packet_id(reader) if qos else 0
+        own = self._own(K.PUBLISH, reader)
+        if topic and not is_topic(topic):
+            raise MqttError(INVALID_TOPIC, "a topic with a wildcard")
+        if not topic and P.TOPIC_ALIAS not in own:
+            raise MqttError(PROTOCOL_ERROR, "a PUBLISH without a topic")
+        if P.RESPONSE_TOPIC in own and not is_topic(own[P.RESPONSE_TOPIC]):
+            raise MqttError(PROTOCOL_ERROR, "a response topic with a wildcard, or an empty one")
+        return Publish(topic, reader.rest(), qos, packet_id, dup, retain, own)
+
+    def _subscribe(self, reader: Reader) -> Subscribe:
+        packet_id, own = _packet_id(reader), self._own(K.SUBSCRIBE, reader)
+        wanted: list[Wanted] = []
+        while reader.left or not wanted:
+            name, options = _filter(reader), reader.u8()
+            if options & 3 == 3 or options >> 4 == 3 or options & (0xC0 if self.version == V5 else 0xFC):
+                raise malformed("options of a SUBSCRIBE")
+            wanted.append(Wanted(name, options & 3, bool(options & 4), bool(options & 8), options >> 4 & 3))
+        return Subscribe(packet_id, tuple(wanted), own)
+
+
+def _packet_id(reader: Reader) -> int:
+    if not (packet_id := reader.u16()):
+        raise MqttError(PROTOCOL_ERROR, "packet id 0")
+    return packet_id
+
+
+def _filter(reader: Reader) -> str:
+    name = reader.text()
+    if not is_filter(name):
+        raise MqttError(0x8F, f"no topic filter: {name[:40]!r}")
+    return name
+
+
+def _read_connect(reader: Reader) -> Connect:
+    if reader.text() != "MQTT":
+        raise MqttError(UNSUPPORTED_VERSION, "another protocol")
+    version, flags = reader.u8(), reader.u8()
+    if version not in (V3, V5):
+        raise MqttError(UNSUPPORTED_VERSION, f"protocol level {version}")
+    will, named, secret = bool(flags & 4), bool(flags & 0x80), bool(flags & 0x40)
+    if flags & 1 or flags >> 3 & 3 == 3 or (not will and flags & 0x38) or (version == V3 and secret > named):
+        raise malformed("flags of a CONNECT")
+    keep_alive = reader.u16()
+    own = properties.read(reader, _ALLOWED[K.CONNECT]) if version == V5 else NONE
+    client_id = reader.text()
+    if will:
+        if version == V5:
+            properties.read(reader, _WILL)
+        if not is_topic(reader.text()):
+            raise MqttError(INVALID_TOPIC, "a will's topic with a wildcard")
+        reader.binary()
+    username = reader.text() if named else None
+    password = reader.binary() if secret else None
+    return Connect(client_id, version, bool(flags & 2), keep_alive, username, password, will, own)
