--- a/amberlug/cli/checking.py
+++ b/amberlug/cli/checking.py
@@ -1,23 +1,26 @@
-"""`amberlug check`: what is wrong with a configuration."""
+"""`amberlug check`: what is wrong with a configuration, or with an operator's file beside it."""
 
 from __future__ import annotations
 
 import json
 import sys
+import tomllib
 from dataclasses import asdict
 from pathlib import Path
 
-from amberlug.platform.checking import check
+from amberlug.platform.checking import Problem, check
+from stoatusher.settings import read_settings
 
 
-def main(path: Path, as_json: bool) -> int:
+def main(path: Path, config: Path | None, as_json: bool) -> int:
     """Print all problems of a file; 1 where there are any, 2 where it can't be read."""
     try:
         text = path.read_text(encoding="utf-8")
+        beside = config.read_text(encoding="utf-8") if config is not None else None
     except (OSError, UnicodeDecodeError) as error:
-        print(f"amberlug: {path}: {error}", file=sys.stderr)
+        print(f"amberlug: {error}", file=sys.stderr)
         return 2
-    found = check(text)
+    found = _mapping(text, beside) if path.suffix == ".toml" else check(text)
     if as_json:
         print(json.dumps({"file": str(path), "problems": [asdict(it) for it in found]}))
     else:
@@ -26,3 +29,19 @@
         if not found:
             print(f"{path}: no problems")
     return 1 if found else 0
+
+
+def _mapping(text: str, beside: str | None) -> list[Problem]:
+    """What is wrong with an MQTT mapping, against the settings of a configuration where one is given."""
+    from amberlug.mqtt import mapping
+
+    settings = None
+    if beside is not None:
+        if wrong := check(beside):
+            return [Problem(f"--config {it.where}", it.what) for it in wrong]
+        settings = read_settings(json.loads(beside)["settings"])
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return [Problem("the whole", str(error))]
+    return mapping.read(table, settings)[1]
--- a/amberlug/cli/main.py
+++ b/amberlug/cli/main.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sys
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 
 
@@ -14,7 +16,8 @@
     commands = it.add_subparsers(dest="command", metavar="COMMAND")
     commands.add_parser("serve", help="run one relay, configured by ROUTER_* variables (the default)")
     check = commands.add_parser("check", help="check a configuration: all its errors, each with its place")
-    check.add_argument("file", type=Path)
+    check.add_argument("file", type=Path, help="a relay's configuration, or an MQTT mapping (.toml)")
+    check.add_argument("--config", type=Path, help="the configuration that a mapping is to fit")
     trial = commands.add_parser("try", help="run the relay among stand-ins for some ten seconds")
     journal = commands.add_parser("journal", help="look into a state folder; save what a damaged one holds")
     actions = journal.add_subparsers(dest="action", metavar="ACTION", required=True)
@@ -35,7 +38,7 @@
     if options.command == "check":
         from amberlug.cli import checking
 
-        return checking.main(options.file, options.json)
+        return checking.main(options.file, options.config, options.json)
     if options.command == "try":
         from amberlug.cli import trial
 
@@ -47,7 +50,11 @@
         return journals.main(options.action, options.folder, to, options.json)
     from amberlug.platform import daemon
 
-    return daemon.main()
+    if not os.environ.get("AMBERLUG_MQTT"):
+        return daemon.main()
+    from amberlug.mqtt.front import Mqtt
+
+    return daemon.main(partial(Mqtt, Path(os.environ["AMBERLUG_MQTT"])))
 
 
 def run() -> None:
--- /dev/null
+++ b/amberlug/mqtt/front.py
@@ -0,0 +1,71 @@
+"""MQTT as a front of the daemon: wires its parts by an operator's file."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+from amberlug.core.ports import Clock, Ends, Transport
+from amberlug.mqtt import mapping
+from amberlug.mqtt.ends import MqttEnds
+from amberlug.mqtt.intake import Intake, Node
+from amberlug.mqtt.listener import Listener
+from amberlug.mqtt.publisher import Publisher
+from amberlug.mqtt.subscriber import Subscriber
+from stoatusher.interface import Settings
+
+
+class Mqtt:
+    """All of it, beside a node that others have made.
+
+    Raises `ValueError` with the first problem of the file, `OSError` where it can't be read.
+    """
+
+    def __init__(self, path: Path, settings: Settings, clock: Clock) -> None:
+        try:
+            table = tomllib.loads(path.read_text(encoding="utf-8"))
+        except tomllib.TOMLDecodeError as error:
+            raise ValueError(f"{path}: {error}") from None
+        self._mapped, problems = mapping.read(table, settings)
+        if problems:
+            more = f" (and {len(problems) - 1} more: see `amberlug check`)" if len(problems) > 1 else ""
+            raise ValueError(f"{path}: {problems[0].where}: {problems[0].what}{more}")
+        self._clock = clock
+        self._intake = Intake(self._mapped, settings, clock)
+
+    def transport(self, others: Transport) -> Transport:
+        """A transport that publishes where the file says so, and passes on the rest."""
+        self._publisher = Publisher(others, self._mapped.targets, self._clock)
+        return self._publisher
+
+    def ends(self, notices: Ends) -> Ends:
+        """Ends that go where their messages came from."""
+        self._ends = MqttEnds(notices, self._mapped.keep_ends_s)
+        self._subscribers = [
+            Subscriber(login, self._mapped, self._intake, self._ends)
+            for login in self._mapped.brokers.values()
+        ]
+        listener = self._mapped.listener
+        self._listener = None if listener is None else Listener(listener, self._intake, self._ends)
+        return self._ends
+
+    async def start(self, node: Node) -> None:
+        """Begin to take messages on; `OSError` where the listener's address can't be used."""
+        self._intake.node = node
+        if self._listener is not None:
+            await self._listener.start()
+        self._ends.start()
+        for subscriber in self._subscribers:
+            subscriber.start()
+
+    def close(self) -> None:
+        """Take nothing on from now on; calls and ends go on."""
+        for subscriber in self._subscribers:
+            subscriber.close()
+        if self._listener is not None:
+            self._listener.close()
+
+    def stop(self) -> None:
+        """Let go of all connections."""
+        self._ends.stop()
+        self._publisher.stop()
--- /dev/null
+++ b/amberlug/mqtt/link.py
@@ -0,0 +1,297 @@
+"""A connection to a broker that comes up again: one session, whatever becomes of the sockets below it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from amberlug.core.log import log
+from amberlug.core.ports import Address
+from amberlug.mqtt.fields import MqttError
+from amberlug.mqtt.mapping import Login
+from amberlug.mqtt.packets import (
+    V5,
+    Ack,
+    Connack,
+    Connect,
+    Disconnect,
+    Granted,
+    Kind,
+    Packet,
+    Ping,
+    Publish,
+    Subscribe,
+    Wanted,
+)
+from amberlug.mqtt.properties import PROTOCOL_ERROR, P, Properties
+from amberlug.mqtt.sessions import Incoming, Outgoing
+from amberlug.mqtt.wire import PACKET_MOST, Wire
+
+DIAL = 2.0  # seconds for a connection, and for its CONNACK
+PAUSE = 0.1, 5.0  # first and longest pause before a further try, drawn between half and all of it
+STEADY = 10.0  # seconds after which a connection that is lost counts as a first failure
+WINDOW_3 = 20  # publishes at once to a broker of 3.1.1, which can't tell how many it takes
+NOT_AUTHORIZED = 0x87
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """What a broker said in its CONNACK."""
+
+    present: bool
+    window: int
+
+
+class Link:
+    """A session with one broker. `publish` is told each publish that comes, and returns at once.
+
+    With `filters` it connects by itself, and again whenever it is lost; without, only while somebody waits
+    for it. `up` is called with each connection that stands.
+    """
+
+    def __init__(
+        self,
+        login: Login,
+        address: Address,
+        filters: tuple[Wanted, ...] = (),
+        publish: Callable[[Publish], None] | None = None,
+        up: Callable[[], None] | None = None,
+    ) -> None:
+        self.login, self._address, self._filters = login, address, filters
+        self._publish, self._up = publish, up
+        self.incoming = Incoming(login.window)
+        self.outgoing = Outgoing(self._write)
+        self._wire: Wire | None = None
+        self._session: asyncio.Future[Session] | None = None
+        self._over: asyncio.Future[str] | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._rooms: deque[asyncio.Future[bool]] = deque()
+        self._before = False  # whether a connection of this process stood before
+        self._stopped = False
+        self.connected = False
+
+    def start(self) -> None:
+        """Begin to connect."""
+        if self._task is None and not self._stopped:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        """Say goodbye and let go; what is out is not told."""
+        self._stopped = True
+        if self._wire is not None:
+            self._wire.write(Disconnect())
+            self._wire.close("stopped")
+        if self._task is not None:
+            self._task.cancel()
+        self._turn_away()
+
+    def abort(self, why: str) -> None:
+        """Give the connection up; another one follows where it is wanted."""
+        if self._wire is not None:
+            self._wire.abort(why)
+
+    @property
+    def last_heard(self) -> float:
+        """When something last came, by the loop's clock."""
+        return self._wire.last_heard if self._wire is not None else 0.0
+
+    async def room(self) -> bool:
+        """Wait until a publish may leave, and keep its place; False where no connection is to be had."""
+        if self.outgoing.room and not self._rooms:
+            self.outgoing.reserve()
+            return True
+        if self._stopped:
+            return False
+        self.start()
+        waiter: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._rooms.append(waiter)
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled() and waiter.result():
+                self.leave()
+            raise
+
+    def leave(self) -> None:
+        """Give up the place of a publish that does not leave."""
+        self.outgoing.free()
+        self._give_rooms()
+
+    def send(self, packet: Publish, done: Callable[..., None]) -> None:
+        """Publish in the place that was kept."""
+        self.outgoing.free()
+        self.outgoing.publish(packet, done)
+        self._give_rooms()
+
+    def _give_rooms(self) -> None:
+        while self._rooms and self.outgoing.room:
+            waiter = self._rooms.popleft()
+            if not waiter.done():
+                self.outgoing.reserve()
+                waiter.set_result(True)
+
+    def _turn_away(self) -> None:
+        while self._rooms:
+            waiter = self._rooms.popleft()
+            if not waiter.done():
+                waiter.set_result(False)
+
+    # The connection.
+
+    @property
+    def _wanted(self) -> bool:
+        return bool(self._filters or self._rooms or self.outgoing.unreleased)
+
+    async def _run(self) -> None:
+        pause, loop = PAUSE[0], asyncio.get_running_loop()
+        try:
+            while self._wanted and not self._stopped:
+                start = loop.time()
+                why = await self._live()
+                self.connected = False
+                self.outgoing.lost()
+                if self._stopped:
+                    return
+                log(f"mqtt: {self.login.name}: {why}")
+                if not self.outgoing.unreleased:
+                    self._turn_away()
+                pause = PAUSE[0] if loop.time() - start > STEADY else min(2 * pause, PAUSE[1])
+                if self._wanted:
+                    await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+        finally:
+            self._task = None
+            self._turn_away()
+
+    async def _live(self) -> str:
+        """Connect once, and stay until that is over: why it is."""
+        loop = asyncio.get_running_loop()
+        session, over = loop.create_future(), loop.create_future()
+        self._session, self._over = session, over
+        wire = Wire(self._heard, self._gone, self.login.version)
+        try:
+            async with asyncio.timeout(DIAL):
+                await loop.create_connection(lambda: wire, *self._address)
+        except (OSError, TimeoutError) as error:
+            return f"no connection: {error or 'timed out'}"
+        self._wire = wire
+        try:
+            self._greet(wire)
+            done, _ = await asyncio.wait({session, over}, timeout=DIAL, return_when=asyncio.FIRST_COMPLETED)
+            if not session.done():
+                return str(over.result()) if over in done else "no CONNACK in time"
+            if session.exception() is not None:
+                return str(session.exception())
+            return await self._stay(wire, over)
+        finally:
+            wire.abort("left")
+            self._wire = None
+
+    def _greet(self, wire: Wire) -> None:
+        keep = bool(self._filters) or self.outgoing.unreleased
+        own: dict[P, object] = {P.RECEIVE_MAXIMUM: self.login.window, P.MAXIMUM_PACKET_SIZE: PACKET_MOST}
+        own[P.SESSION_EXPIRY] = self.login.session_expiry
+        login = self.login
+        password = None if login.password is None else login.password.encode()
+        wire.write(
+            Connect(
+                login.client_id, login.version, not keep, login.keep_alive, login.username, password,
+                properties=own,
+            )
+        )  # fmt: skip
+
+    def _stand(self, session: Session) -> None:
+        """Go on with a connection that the broker has accepted."""
+        # Guards against a broker that tells of a session which this process never had: what it still knows
+        # of an earlier life's packet ids would be taken for this one's.
+        self.incoming.connected(session.present)
+        self.outgoing.connected(session.present and self._before, session.window)
+        self._before = True
+        self.connected = True
+        log(f"mqtt: {self.login.name}: connected, session {'kept' if session.present else 'new'}")
+        if self._filters:
+            self._write(Subscribe(1, self._filters))
+        self._give_rooms()
+        if self._up is not None:
+            self._up()
+
+    async def _stay(self, wire: Wire, over: asyncio.Future[str]) -> str:
+        """Wait until it is over; ask for a sign of life where it is silent."""
+        loop, every = asyncio.get_running_loop(), self.login.keep_alive / 2
+        while not over.done():
+            await asyncio.wait({over}, timeout=every)
+            if not over.done() and loop.time() - wire.last_heard > self.login.keep_alive * 1.5:
+                wire.abort("silent")
+            elif not over.done():
+                wire.write(Ping(Kind.PINGREQ))
+        return over.result()
+
+    def _gone(self, why: str) -> None:
+        if self._over is not None and not self._over.done():
+            self._over.set_result(why)
+
+    def _write(self, packet: Packet) -> None:
+        if self._wire is not None:
+            self._wire.write(packet)
+
+    def answer(self, packet_id: int, code: int = 0, told: Properties | None = None) -> None:
+        """Answer a publish that came."""
+        if (ack := self.incoming.answer(packet_id, code, told or {})) is not None:
+            self._write(ack)
+
+    def hold(self, held: bool) -> None:
+        """Read nothing for now, or again."""
+        if self._wire is not None:
+            if held:
+                self._wire.hold()
+            else:
+                self._wire.go_on()
+
+    def _heard(self, packet: Packet) -> None:
+        match packet:
+            case Connack():
+                self._accepted(packet)
+            case Publish() if self.connected:
+                self._came(packet)
+            case Ack(Kind.PUBREL, packet_id):
+                self._write(self.incoming.released(packet_id))
+            case Ack():
+                self.outgoing.came(packet)
+                self._give_rooms()
+            case Granted(Kind.SUBACK, _, codes):
+                for wanted, code in zip(self._filters, codes, strict=False):
+                    if code >= 0x80:
+                        log(f"mqtt: {self.login.name}: {wanted.filter} was refused with 0x{code:02x}")
+            case Ping(Kind.PINGRESP) | Granted():
+                pass
+            case Disconnect(code):
+                if self._wire is not None:
+                    self._wire.close(f"sent away with 0x{code:02x}")
+            case _:
+                raise MqttError(PROTOCOL_ERROR, f"a broker sent {type(packet).__name__}")
+
+    def _accepted(self, packet: Connack) -> None:
+        assert self._session is not None
+        if self._session.done():
+            raise MqttError(PROTOCOL_ERROR, "a second CONNACK")
+        if packet.code:
+            self._session.set_exception(ConnectionError(f"refused with 0x{packet.code:02x}"))
+            return
+        if self.login.version == V5:
+            window = int(packet.properties.get(P.RECEIVE_MAXIMUM, 0xFFFF))
+        else:
+            window = WINDOW_3
+        session = Session(packet.session_present, min(window, self.login.window))
+        self._session.set_result(session)
+        self._stand(session)  # at once: what the broker brings again may have come with it
+
+    def _came(self, packet: Publish) -> None:
+        if not packet.topic:
+            raise MqttError(PROTOCOL_ERROR, "a topic alias, which was not offered")
+        offered, ack = self.incoming.came(packet)
+        if ack is not None:
+            self._write(ack)
+        if offered and self._publish is not None:
+            self._publish(packet)
--- /dev/null
+++ b/amberlug/mqtt/listener.py
@@ -0,0 +1,321 @@
+"""Publishers that have no broker: they connect here, publish, and hear the ends of what they published."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import socket
+from enum import Enum
+from uuid import uuid4
+
+from amberlug.core.log import log
+from amberlug.mqtt.ends import MqttEnds, Told
+from amberlug.mqtt.fields import MqttError
+from amberlug.mqtt.intake import Intake, Offer, Verdict
+from amberlug.mqtt.mapping import LISTENER, NOT_AUTHORIZED
+from amberlug.mqtt.mapping import Listener as Allowed
+from amberlug.mqtt.packets import (
+    V5,
+    Ack,
+    Connack,
+    Connect,
+    Disconnect,
+    Granted,
+    Kind,
+    Packet,
+    Ping,
+    Publish,
+    Subscribe,
+    Unsubscribe,
+)
+from amberlug.mqtt.properties import PROTOCOL_ERROR, P
+from amberlug.mqtt.replies import RETRY
+from amberlug.mqtt.sessions import Incoming, Outgoing
+from amberlug.mqtt.topics import matches
+from amberlug.mqtt.wire import PACKET_MOST, Wire
+
+GREETING = 2.0  # seconds for a whole CONNECT
+READING = 5.0  # seconds for a packet that has begun
+SWEEP = 0.25  # seconds between looks for connections whose time is up
+BACKLOG, ACCEPTS = 512, 16
+ENDS = "ends"  # what topics for ends begin with; a client's own go on with its id
+FILTERS_MOST = 8  # that one connection may listen to
+TELLING_MOST = 20  # ends on their way at once to a client of 3.1.1
+BAD_LOGIN, BUSY, TAKEN_OVER, SHUTTING_DOWN, SILENT, NO_RETAIN = 0x86, 0x89, 0x8E, 0x8B, 0x8D, 0x9A
+RETURN_CODES = {BAD_LOGIN: 4, BUSY: 3, 0x84: 1, 0x85: 2, NOT_AUTHORIZED: 5}  # of 3.1.1, for those of 5.0
+
+
+def own_topic(client_id: str) -> str:
+    """Where a client's ends are told unless it asks for a topic below that."""
+    return f"{ENDS}/{client_id}"
+
+
+class Phase(Enum):
+    """What is waited for on a connection."""
+
+    GREETING = "connect"
+    OPEN = "open"
+    CLOSED = "closed"
+
+
+class Session:
+    """One connection of a publisher. It has no session that outlasts it, and says so."""
+
+    def __init__(self, listener: Listener) -> None:
+        self._listener = listener
+        self.wire = Wire(self._heard, self._lost)
+        self.phase = Phase.GREETING
+        self.client_id = ""
+        self.since = asyncio.get_running_loop().time()
+        self._incoming = Incoming(listener.allowed.window)
+        self._outgoing = Outgoing(self.wire.write)
+        self._offers: dict[Offer, None] = {}
+        self.filters: set[str] = set()
+        self._keep_alive = 0.0
+
+    # What is due.
+
+    def late(self, now: float) -> tuple[int, str] | None:
+        """Why it is to be ended, if its time is up."""
+        if self.phase is Phase.GREETING:
+            return (SILENT, "no CONNECT in time") if now - self.since > GREETING else None
+        if now - self.wire.last_heard > self._keep_alive:
+            return SILENT, "silent for longer than its keep-alive"
+        if self.wire.begun and now - self.wire.last_heard > READING:
+            return SILENT, "a packet did not come in time"
+        return None
+
+    # What comes.
+
+    def _heard(self, packet: Packet) -> None:
+        if self.phase is Phase.GREETING:
+            if not isinstance(packet, Connect):
+                raise MqttError(PROTOCOL_ERROR, "a packet ahead of CONNECT")
+            self._greet(packet)
+            return
+        match packet:
+            case Publish():
+                self._publish(packet)
+            case Ack(Kind.PUBREL, packet_id):
+                self.wire.write(self._incoming.released(packet_id))
+            case Ack():
+                self._outgoing.came(packet)
+            case Subscribe():
+                self._subscribe(packet)
+            case Unsubscribe(packet_id, filters):
+                self.filters.difference_update(filters)
+                self.wire.write(Granted(Kind.UNSUBACK, packet_id, (0,) * len(filters)))
+            case Ping(Kind.PINGREQ):
+                self.wire.write(Ping(Kind.PINGRESP))
+            case Disconnect():
+                self.wire.close("it left")
+            case _:
+                raise MqttError(PROTOCOL_ERROR, f"a client sent {type(packet).__name__}")
+
+    def _greet(self, packet: Connect) -> None:
+        code = self._listener.admits(packet)
+        if code:
+            self.wire.write(Connack(code if packet.version == V5 else RETURN_CODES.get(code, 3)))
+            self.wire.close(f"refused with 0x{code:02x}")
+            return
+        allowed = self._listener.allowed
+        most = allowed.keep_alive
+        keep_alive = min(packet.keep_alive or most, most)
+        told: dict[P, object] = {
+            P.RECEIVE_MAXIMUM: allowed.window, P.MAXIMUM_PACKET_SIZE: PACKET_MOST, P.SESSION_EXPIRY: 0,
+            P.RETAIN_AVAILABLE: 0, P.SHARED_AVAILABLE: 0, P.SUBSCRIPTION_ID_AVAILABLE: 0,
+        }  # fmt: skip
+        if keep_alive != packet.keep_alive:
+            told[P.SERVER_KEEP_ALIVE] = keep_alive
+        self.client_id = packet.client_id
+        if not self.client_id:
+            self.client_id = told[P.ASSIGNED_CLIENT_ID] = uuid4().hex
+        self._keep_alive = (packet.keep_alive if packet.version != V5 else keep_alive) * 1.5 or most * 1.5
+        self.phase = Phase.OPEN
+        window = packet.properties.get(P.RECEIVE_MAXIMUM, 0xFFFF) if packet.version == V5 else TELLING_MOST
+        self._outgoing.connected(False, window)
+        self._listener.greeted(self)
+        self.wire.write(Connack(0, False, told))
+
+    def _publish(self, packet: Publish) -> None:
+        if packet.retain and self.wire.version == V5:
+            raise MqttError(NO_RETAIN, "nothing is retained here")
+        if not packet.topic:
+            raise MqttError(0x94, "a topic alias, which was not offered")
+        offered, ack = self._incoming.came(packet)
+        if ack is not None:
+            self.wire.write(ack)
+        if not offered:
+            return
+        topic = packet.properties.get(P.RESPONSE_TOPIC, "")
+        if topic and not self._may_hear(topic):
+            self._judged(packet, Verdict(NOT_AUTHORIZED, f"ends go to {own_topic(self.client_id)} alone"))
+            return
+        listens = any(matches(it, own_topic(self.client_id)) for it in self.filters)
+        default = own_topic(self.client_id) if listens else ""
+        offers: list[Offer] = []
+
+        def done(verdict: Verdict) -> None:
+            for offer in offers:
+                self._offers.pop(offer, None)
+            self._judged(packet, verdict)
+
+        offer = self._listener.intake.offer(LISTENER, packet, default, done)
+        if offer is not None:
+            offers.append(offer)
+            if not offer.settled:
+                self._offers[offer] = None
+
+    def _judged(self, packet: Publish, verdict: Verdict) -> None:
+        """Answer a publish: by reason code in 5.0; 3.1.1 has no way to refuse but to close."""
+        if not packet.qos:
+            if verdict.code:
+                self._listener.intake.pass_over(LISTENER, packet, verdict.text)
+            return
+        if verdict.code and self.wire.version != V5:
+            # An acknowledgement would say that it was taken on. The client connects again after a pause of
+            # its own, and brings what was not acknowledged.
+            self.wire.close(f"{packet.topic[:80]!r} can't be refused otherwise in 3.1.1: {verdict.text}")
+            return
+        told: dict[P, object] = {}
+        if verdict.code:
+            told[P.REASON_STRING] = verdict.text
+        if verdict.retry_ms:
+            told[P.USER] = [(RETRY, str(verdict.retry_ms))]
+        if (ack := self._incoming.answer(packet.packet_id, verdict.code, told)) is not None:
+            self.wire.write(ack)
+
+    def _subscribe(self, packet: Subscribe) -> None:
+        codes = []
+        for wanted in packet.wanted:
+            if wanted.filter in self.filters or len(self.filters) < FILTERS_MOST:
+                good = self._may_hear(wanted.filter.removesuffix("/#")) and "+" not in wanted.filter
+                if good:
+                    self.filters.add(wanted.filter)
+                codes.append(min(wanted.qos, 1) if good else self._refused(NOT_AUTHORIZED))
+            else:
+                codes.append(self._refused(0x97))
+        self.wire.write(Granted(Kind.SUBACK, packet.packet_id, tuple(codes)))
+        self._listener.listening(self)
+
+    def _refused(self, code: int) -> int:
+        return code if self.wire.version == V5 else 0x80
+
+    def _may_hear(self, topic: str) -> bool:
+        own = own_topic(self.client_id)
+        return topic == own or topic.startswith(own + "/")
+
+    # What goes.
+
+    def hears(self, topic: str) -> bool:
+        """Whether it listens there."""
+        return any(matches(it, topic) for it in self.filters)
+
+    def tell(self, packet: Publish, done: Told) -> bool:
+        """Publish an end; False where it takes no more for now."""
+        if self.phase is not Phase.OPEN or not self._outgoing.room:
+            return False
+        self._outgoing.publish(packet, lambda fate, code, told: done(fate))
+        return True
+
+    def send_away(self, code: int, why: str) -> None:
+        """End it from this side."""
+        self.wire.fail(code, why)
+
+    def _lost(self, why: str) -> None:
+        greeted = self.phase is Phase.OPEN
+        self.phase = Phase.CLOSED
+        self._listener.closed(self)
+        for offer in list(self._offers):
+            self._listener.intake.withdraw(offer)
+        self._offers.clear()
+        self._outgoing.lost()
+        if greeted and why not in ("it left", "closed by the other side"):
+            log(f"mqtt: {self.client_id[:80]!r}: {why}")
+
+
+class Listener:
+    """Accepts publishers, within bounds, and tells them their ends."""
+
+    def __init__(self, allowed: Allowed, intake: Intake, ends: MqttEnds) -> None:
+        self.allowed, self.intake, self._ends = allowed, intake, ends
+        self._sessions: dict[Session, None] = {}  # the oldest first
+        self._clients: dict[str, Session] = {}
+        self._server: asyncio.Server | None = None
+        self._sweep: asyncio.TimerHandle | None = None
+        self._closing = False
+        ends.fronts[LISTENER] = self
+
+    async def start(self) -> None:
+        """Listen; `OSError` where the address can't be used."""
+        loop = asyncio.get_running_loop()
+        host = self.allowed.address[0]
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.create_server(self.allowed.address, family=family)
+        # asyncio accepts as many in one turn as its backlog tells.
+        self._server = await loop.create_server(self._accept, sock=sock, backlog=ACCEPTS)
+        sock.listen(BACKLOG)
+        self._look()
+
+    def _accept(self) -> Wire:
+        session = Session(self)
+        self._sessions[session] = None
+        if len(self._sessions) > self.allowed.connections:
+            # Guards against hundreds that connect and say nothing: the oldest of those makes room.
+            silent = next((it for it in self._sessions if it.phase is Phase.GREETING), session)
+            asyncio.get_running_loop().call_soon(silent.wire.abort, "too many connections")
+        return session.wire
+
+    def admits(self, packet: Connect) -> int:
+        """The reason code for a CONNECT; 0 where it is welcome."""
+        if self._closing:
+            return SHUTTING_DOWN
+        if self.intake.node is None or not self.intake.node.ready:
+            return BUSY
+        if any(sign in packet.client_id for sign in "/+#") or len(packet.client_id) > 128:
+            return 0x85
+        users = self.allowed.users
+        if users:
+            secret = users.get(packet.username or "")
+            given = packet.password or b""
+            if secret is None or not hmac.compare_digest(secret.encode(), given):
+                return BAD_LOGIN
+        return 0
+
+    def greeted(self, session: Session) -> None:
+        """A client is known now; an older connection of the same one goes."""
+        older = self._clients.get(session.client_id)
+        self._clients[session.client_id] = session
+        if older is not None:
+            older.send_away(TAKEN_OVER, "taken over by another connection")
+
+    def closed(self, session: Session) -> None:
+        self._sessions.pop(session, None)
+        if self._clients.get(session.client_id) is session:
+            del self._clients[session.client_id]
+
+    def listening(self, session: Session) -> None:
+        self._ends.listening(LISTENER, session.hears)
+
+    def tell(self, packet: Publish, done: Told) -> bool:
+        client = packet.topic.split("/")[1] if packet.topic.startswith(f"{ENDS}/") else ""
+        session = self._clients.get(client)
+        return session is not None and session.hears(packet.topic) and session.tell(packet, done)
+
+    def _look(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        for session in list(self._sessions):
+            if (late := session.late(now)) is not None:
+                session.send_away(*late)
+        self._sweep = loop.call_later(SWEEP, self._look)
+
+    def close(self) -> None:
+        """Take no more connections, and send those away that are open."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        if self._sweep is not None:
+            self._sweep.cancel()
+        for session in list(self._sessions):
+            session.send_away(SHUTTING_DOWN, "closing")
--- /dev/null
+++ b/amberlug/mqtt/publisher.py
@@ -0,0 +1,178 @@
+"""Calls to endpoints that are a topic at a broker, beside those over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
+
+from amberlug.core.departure import departing
+from amberlug.core.messages import Attempt, Ending
+from amberlug.core.ports import Address, Calls, Clock, Transport
+from amberlug.mqtt.link import Link
+from amberlug.mqtt.mapping import Target
+from amberlug.mqtt.packets import Publish
+from amberlug.mqtt.properties import P, Properties, user
+from amberlug.mqtt.replies import RETRY
+from amberlug.mqtt.sessions import Fate
+from stoatusher.interface import Result
+
+WAIT_MOST_MS = 3_600_000  # longest told wait that is kept
+NEVER_RAN = frozenset((0x87, 0x90, 0x91, 0x95, 0x99))  # not taken, and for this message never will be
+QUOTA = 0x97
+
+
+def ending(fate: Fate, code: int, told: Properties) -> Ending:
+    """What became of an attempt, by what became of its publish."""
+    if fate is Fate.ACKNOWLEDGED:
+        return Ending(Result.DONE)
+    if fate is Fate.DROPPED:
+        return Ending(Result.UNCONNECTED)
+    if fate is Fate.LOST:
+        return Ending(Result.RESET)
+    if code == QUOTA:
+        return Ending(Result.REFUSED, wait_us(told))
+    return Ending(Result.UNSENT if code in NEVER_RAN else Result.ERROR)
+
+
+def wait_us(told: Properties) -> int:
+    """The told wait; one that can't be read is none."""
+    text = user(told, RETRY) or ""
+    if not (text.isascii() and text.isdigit()):
+        return 0
+    return min(int(text[:18]), WAIT_MOST_MS) * 1000
+
+
+class Publisher:
+    """The core's transport: publishes to kinds that the operator's file names, and passes on all others."""
+
+    def __init__(self, others: Transport, targets: Mapping[str, Target], clock: Clock) -> None:
+        self._others, self._targets, self._clock = others, targets, clock
+        self._kinds: dict[str, str] = {}  # of endpoints that are topics
+        self._addresses: dict[str, Address] = {}
+        self._links: dict[tuple[str, Address], Link] = {}
+        self._out: dict[Attempt, asyncio.Future[Ending]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def busy(self) -> bool:
+        return bool(self._tasks) or self._others.busy
+
+    def bind(self, calls: Calls) -> None:
+        self._calls = calls
+        self._others.bind(calls)
+
+    def locate(self, endpoint: str, address: Address | None, kind: str = "") -> None:
+        """Learn where an endpoint's broker is; of the other kinds, pass it on."""
+        if kind in self._targets and address is not None:
+            self._kinds[endpoint], self._addresses[endpoint] = kind, address
+            return
+        if self._kinds.pop(endpoint, None) is not None:
+            del self._addresses[endpoint]
+            self._close_unused()
+        if kind not in self._targets:
+            self._others.locate(endpoint, address, kind)
+
+    def _close_unused(self) -> None:
+        used = {(self._kinds[it], self._addresses[it]) for it in self._kinds}
+        for place in [it for it in self._links if it not in used]:
+            # A call that is out there still gets its answer: the connection goes once it is quiet.
+            if not any(task.get_name() == str(place) for task in self._tasks):
+                self._links.pop(place).stop()
+
+    def close_idle(self, endpoint: str) -> None:
+        """Leave the one connection to a broker open: it serves all endpoints there."""
+        if endpoint not in self._kinds:
+            self._others.close_idle(endpoint)
+
+    def call(self, endpoint: str, attempts: list[Attempt], fresh: bool) -> None:
+        kind = self._kinds.get(endpoint)
+        if kind is None:
+            self._others.call(endpoint, attempts, fresh)
+            return
+        place = kind, self._addresses[endpoint]
+        if (link := self._links.get(place)) is None:
+            link = self._links[place] = Link(self._targets[kind].login, place[1])
+        for attempt in attempts:
+            self._out[attempt] = asyncio.get_running_loop().create_future()
+            self._start(self._call(self._targets[kind], link, attempt), str(place))
+
+    def _start(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def call_off(self, attempt: Attempt) -> None:
+        waits = self._out.get(attempt)
+        if waits is None:
+            self._others.call_off(attempt)
+            return
+        attempt.called_off = True
+        _set(waits, Ending(Result.CALLED_OFF))
+
+    def probe(self, endpoint: str, ended: Callable[[Ending], None]) -> None:
+        if endpoint not in self._kinds:
+            self._others.probe(endpoint, ended)
+            return
+        # There is nothing to ask of a topic: only a publish tells.
+        asyncio.get_running_loop().call_soon(ended, Ending(Result.UNSENT))
+
+    def stop(self) -> None:
+        """Let go of the connections to brokers."""
+        for link in self._links.values():
+            link.stop()
+
+    def _left(self, attempt: Attempt) -> float:
+        return max(0.0, (attempt.until_us - self._clock.now_us()) / 1e6)
+
+    async def _call(self, target: Target, link: Link, attempt: Attempt) -> None:
+        how = Ending(Result.RESET)
+        try:
+            how = await self._attempt(target, link, attempt)
+        finally:
+            # Guards against an error that leaves an attempt without an outcome, and its slot taken for good.
+            del self._out[attempt]
+            attempt.ended = True
+            self._calls.ended(attempt, how)
+
+    async def _attempt(self, target: Target, link: Link, attempt: Attempt) -> Ending:
+        called_off = self._out[attempt]
+        try:
+            async with asyncio.timeout(self._left(attempt)):
+                room = await link.room()
+        except TimeoutError:
+            return Ending(Result.UNCONNECTED)  # it never left
+        if not room:
+            return Ending(Result.UNCONNECTED)
+        left = False
+        try:
+            # A connection takes time: what a drain, a wait or an end forbids by now is not sent.
+            if called_off.done() or not await departing(self._calls, [attempt]):
+                return Ending(Result.CALLED_OFF if called_off.done() else Result.UNSENT)
+            left = True
+        finally:
+            if not left:
+                link.leave()
+        written = asyncio.get_running_loop().time()
+        link.send(self._packet(target, attempt), lambda *told: _set(called_off, ending(*told)))
+        await asyncio.wait({called_off}, timeout=self._left(attempt))
+        if called_off.done():
+            return called_off.result()
+        if link.last_heard < written:
+            link.abort("silent")  # nothing has come since: it would hold its places for good
+        return Ending(Result.TIMED_OUT)
+
+    def _packet(self, target: Target, attempt: Attempt) -> Publish:
+        message = attempt.message
+        own: list[tuple[str, str]] = [("id", message.name)]
+        if message.key is not None:
+            own.append(("idempotency-key", message.key))
+        expiry = max(1, -(-(attempt.until_us - self._clock.now_us()) // 1_000_000))
+        topic = target.topic_of(message.destination, attempt.endpoint)
+        properties: dict[P, object] = {P.USER: own, P.MESSAGE_EXPIRY: expiry}
+        return Publish(topic, message.body, target.qos.get(message.message_class, 1), properties=properties)
+
+
+def _set(future: asyncio.Future[Ending], how: Ending) -> None:
+    if not future.done():
+        future.set_result(how)
--- /dev/null
+++ b/amberlug/mqtt/replies.py
@@ -0,0 +1,54 @@
+"""Where the end of a message that came by MQTT is told, and how an end looks there. No I/O."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+from amberlug.core.messages import End
+from amberlug.mqtt.packets import Publish
+from amberlug.mqtt.properties import P
+
+RETRY = "retry-in-ms"  # user property: milliseconds after which to come again
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Where an end is told: a front (a broker's name, or the listener), a topic there, what to give back."""
+
+    front: str
+    topic: str
+    correlation: bytes = b""
+
+    def encode(self) -> bytes:
+        """As it stands in the journal."""
+        return f"{self.front}\0{self.topic}\0".encode() + self.correlation
+
+
+def decode(data: bytes) -> Reply:
+    """Read what `encode` wrote; `ValueError` where that is no such thing."""
+    front, topic, correlation = data.split(b"\0", 2)
+    return Reply(front.decode(), topic.decode(), correlation)
+
+
+def publish(end: End, reply: Reply) -> Publish:
+    """An end as it is published, at QoS 1."""
+    fields: dict[str, str | int] = {"message": end.message, "outcome": end.outcome.value}
+    told = [("outcome", end.outcome.value)]
+    if end.retry_ms > 0:
+        fields["retry_in_ms"] = end.retry_ms
+        told.append((RETRY, str(end.retry_ms)))
+    return _publish(reply, fields, told)
+
+
+def refusal(reply: Reply, text: str) -> Publish:
+    """A publish that is no message, as it is told where its sender listens."""
+    return _publish(reply, {"outcome": "refused", "reason": text}, [("outcome", "refused")])
+
+
+def _publish(reply: Reply, fields: dict[str, str | int], told: list[tuple[str, str]]) -> Publish:
+    properties: dict[P, object] = {P.USER: told}
+    if reply.correlation:
+        properties[P.CORRELATION_DATA] = reply.correlation
+    payload = json.dumps(fields, separators=(",", ":")).encode()
+    return Publish(reply.topic, payload, 1, properties=properties)
--- /dev/null
+++ b/amberlug/mqtt/wire.py
@@ -0,0 +1,120 @@
+"""One MQTT connection on a socket: bytes to packets and back, bounded in both directions."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from amberlug.core.messages import BODY_MOST
+from amberlug.mqtt.fields import MqttError
+from amberlug.mqtt.packets import V5, Decoder, Disconnect, Packet, encode
+
+PACKET_MOST = BODY_MOST + 8192  # the longest payload, its topic and properties
+UNSENT_MOST = 1 << 18  # bytes that the other side may leave unread
+
+
+class Wire(asyncio.Protocol):
+    """A connection: `heard` is told each packet, `lost` once that it is over and why."""
+
+    def __init__(
+        self, heard: Callable[[Packet], None], lost: Callable[[str], None], version: int = 0
+    ) -> None:
+        self._heard, self._lost = heard, lost
+        self._decoder = Decoder(PACKET_MOST, version)
+        self._transport: asyncio.Transport | None = None
+        self._out: list[bytes] = []
+        self._why = "closed by the other side"
+        self._held = False
+        self.closing = False
+        self.last_heard = 0.0
+
+    @property
+    def version(self) -> int:
+        """The protocol level; 0 until it is known."""
+        return self._decoder.version
+
+    @property
+    def begun(self) -> bool:
+        """Whether a packet has begun and not ended."""
+        return self._decoder.begun
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(UNSENT_MOST)
+        self.last_heard = asyncio.get_running_loop().time()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.closing = True
+        self._lost(self._why if error is None else f"{self._why}: {error}")
+
+    def data_received(self, data: bytes) -> None:
+        self.last_heard = asyncio.get_running_loop().time()
+        self._decoder.feed(data)
+        self._read()
+
+    def _read(self) -> None:
+        while not self.closing and not self._held:
+            try:
+                packet = self._decoder.next()
+                if packet is None:
+                    return
+                self._heard(packet)
+            except MqttError as error:
+                self.fail(error.code, str(error))
+
+    def pause_writing(self) -> None:
+        """Guard against answers that pile up for a side that sends and does not read."""
+        self.hold()
+
+    def resume_writing(self) -> None:
+        self.go_on()
+
+    def hold(self) -> None:
+        """Read nothing for now: what has come is too much."""
+        self._held = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def go_on(self) -> None:
+        """Read again."""
+        if self._held and not self.closing and self._transport is not None:
+            self._held = False
+            self._transport.resume_reading()
+            asyncio.get_running_loop().call_soon(self._read)
+
+    def write(self, packet: Packet) -> None:
+        """Send a packet, with others of the same turn of the loop."""
+        if self.closing or self._transport is None:
+            return
+        if not self._out:
+            asyncio.get_running_loop().call_soon(self.flush)
+        self._out.append(encode(packet, self.version))
+
+    def flush(self) -> None:
+        """Send now what was written."""
+        out, self._out = self._out, []
+        if out and self._transport is not None:
+            self._transport.write(b"".join(out))
+
+    def fail(self, code: int, why: str) -> None:
+        """End it because of what the other side did, and say so where its version has a way."""
+        if not self.closing:
+            if self.version == V5:
+                self.write(Disconnect(code))
+            self.close(why)
+
+    def close(self, why: str) -> None:
+        """Close it once what was written is sent."""
+        if not self.closing:
+            self._why = why
+            self.flush()
+            self.closing = True
+            if self._transport is not None:
+                self._transport.close()
+
+    def abort(self, why: str) -> None:
+        """Close it at once."""
+        self._why, self.closing = why, True
+        if self._transport is not None:
+            self._transport.abort()
--- a/amberlug/platform/daemon.py
+++ b/amberlug/platform/daemon.py
@@ -9,12 +9,15 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
+from typing import Protocol
 
 from amberlug.core.clock import LoopClock
 from amberlug.core.journal import open_journal
 from amberlug.core.lock import FolderLock
 from amberlug.core.log import LOGGER, log
 from amberlug.core.node import Node
+from amberlug.core.ports import Clock, Ends, Transport
 from amberlug.http.calls import Caller
 from amberlug.http.server import Server
 from amberlug.platform.config import Config, read_config
@@ -22,6 +25,7 @@
 from amberlug.platform.memory import give_back
 from amberlug.platform.notices import Notices
 from amberlug.platform.turns import Turns
+from stoatusher.interface import Settings
 
 OPEN_FOR = 0.6  # seconds after SIGTERM that connections are still taken: they go on coming for 0.4 s
 COLLECT_FOR = 3.0  # seconds after SIGTERM for calls that are out: SIGKILL comes at 3.7 s
@@ -32,7 +36,29 @@
 ACCEPTS = 16  # connections accepted in one turn of the loop
 
 
-async def serve(config: Config, turns: Turns) -> None:
+class Front(Protocol):
+    """A further way in and out, beside HTTP."""
+
+    def transport(self, others: Transport) -> Transport:
+        """Take the place of the transport; what is not for this front is passed on."""
+
+    def ends(self, notices: Ends) -> Ends:
+        """Take the place of the notices; what is not for this front is passed on."""
+
+    async def start(self, node: Node) -> None:
+        """Begin to take messages on; `OSError` where that can't be."""
+
+    def close(self) -> None:
+        """Take nothing on any more."""
+
+    def stop(self) -> None:
+        """Let go of everything."""
+
+
+MakeFront = Callable[[Settings, Clock], Front]
+
+
+async def serve(config: Config, turns: Turns, make_front: MakeFront | None = None) -> None:
     """Serve until SIGTERM."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -43,7 +69,10 @@
     room = int(config.limits.disk_bytes * DISK_SHARE)
     journal = open_journal(config.state, room, clock, config.durability)
     caller, notices = Caller(config.settings, config.limits.links, clock), Notices(config.discovery)
-    node = Node(config.settings, config.seed, journal, caller, notices, clock)
+    front = None if make_front is None else make_front(config.settings, clock)
+    transport = caller if front is None else front.transport(caller)
+    ends = notices if front is None else front.ends(notices)
+    node = Node(config.settings, config.seed, journal, transport, ends, clock)
     node.listed(config.known)
     node.restore()
     server = Server(config.settings, node, clock.wall_ms, turns.waited_us, config.limits.clients)
@@ -61,10 +90,14 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(YOUNG)
+    if front is not None:
+        await front.start(node)
     log(f"ready on {config.listen[0]}:{config.listen[1]}")
     await stop.wait()
     server.closing = True
     node.close()
+    if front is not None:
+        front.close()
     started = loop.time()
     while loop.time() < started + OPEN_FOR or (node.busy and loop.time() < started + COLLECT_FOR):
         await asyncio.sleep(LOOK_AGAIN)
@@ -73,6 +106,8 @@
     await asyncio.sleep(LOOK_AGAIN)  # a request that is being read is answered first
     watch.stop()
     notices.stop()
+    if front is not None:
+        front.stop()
     lock.release()
 
 
@@ -93,7 +128,7 @@
     return str(error).replace("\n", " ")
 
 
-def main() -> int:
+def main(make_front: MakeFront | None = None) -> int:
     """Run the relay; 0 after SIGTERM, 2 after one plain line on what it can't be started with."""
     logging.basicConfig(stream=sys.stderr, format="%(message)s")
     LOGGER.setLevel(logging.INFO)
@@ -101,7 +136,7 @@
     try:
         config, turns = read_config(os.environ), Turns()
         with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner:
-            runner.run(serve(config, turns))
+            runner.run(serve(config, turns, make_front))
     except (ValueError, OSError) as error:
         print(f"amberlug: {plain(error)}", file=sys.stderr)
         return 2
