Tell MQTT ends that found no room, bound slow packets, and refuse loops of ends

Cause, found on rereading: an end that found the window full was told again only on the next connection; one that a broker refused for want of quota was dropped; a packet that came byte by byte was never late; a connection over the bound was left open where all others had greeted; ends could come back as messages by their own topic; an address was looked for among all endpoints after each call. Change: ends queue for a place at their front; a packet counts from its first byte; such addresses are refused, at load and by publish; calls count the use of a connection.

--- a/amberlug/mqtt/ends.py
+++ b/amberlug/mqtt/ends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from amberlug.core.log import log
@@ -17,14 +18,16 @@
 LOOK = 5.0  # seconds between looks for ends that nobody has acknowledged for too long
 TELLING_MOST = 200  # ends that are on their way at once, over all
 
-Told = Callable[[Fate], None]
+QUOTA = 0x97
+AGAIN = 1.0  # seconds after which an end is told again that had no room there
+Told = Callable[[Fate, int], None]  # how, and the reason code
 
 
 class Front(Protocol):
     """Whoever can publish at one front."""
 
-    def tell(self, packet: Publish, done: Told) -> bool:
-        """Publish at QoS 1; False where nobody is there to hear it now."""
+    def tell(self, packet: Publish, done: Told) -> bool | None:
+        """Publish at QoS 1; None where nobody is there to hear it, False where no more is taken now."""
 
 
 class MqttEnds:
@@ -36,6 +39,7 @@
         self._pending: dict[str, tuple[End, float]] = {}  # by message, and since when
         self._places: dict[tuple[str, str], dict[str, None]] = {}  # messages by front and topic
         self._telling: set[str] = set()
+        self._queued: dict[str, dict[str, None]] = {}  # by front, those that found no room
         self._noticing: set[str] = set()  # of which the platform has not acknowledged a notice
         self._look: asyncio.TimerHandle | None = None
 
@@ -85,32 +89,43 @@
         for place in [it for it in self._places if it[0] == front and hears(it[1])]:
             for name in list(self._places.get(place, ())):
                 self._publish(name)
+        for name in self._queued.pop(front, {}):
+            self._publish(name)
 
     def _publish(self, name: str) -> None:
-        if name in self._telling or name not in self._pending or len(self._telling) >= TELLING_MOST:
+        if name in self._telling or name not in self._pending:
             return
         end, _ = self._pending[name]
         reply = replies.decode(end.reply)
         front = self.fronts.get(reply.front)
         if front is None:
             return  # the file no longer names it; kept for its time, in case it does again
-        self._telling.add(name)
-        if not front.tell(replies.publish(end, reply), lambda fate: self._told(name, reply, fate)):
+        if len(self._telling) < TELLING_MOST:
+            self._telling.add(name)
+            how = front.tell(replies.publish(end, reply), partial(self._told, name, reply))
+            if how is not False:
+                if how is None:
+                    self._telling.discard(name)  # told when somebody listens
+                return
             self._telling.discard(name)
+        self._queued.setdefault(reply.front, {})[name] = None
 
-    def _told(self, name: str, reply: Reply, fate: Fate) -> None:
+    def _told(self, name: str, reply: Reply, fate: Fate, code: int) -> None:
         self._telling.discard(name)
-        if fate is Fate.ACKNOWLEDGED:
-            self._done(name, reply)
+        if fate is Fate.REFUSED and code == QUOTA:
+            asyncio.get_running_loop().call_later(AGAIN, self._publish, name)
         elif fate is Fate.REFUSED:
-            log(f"mqtt: the end of {name} was refused at {reply.front}: dropped")
+            log(f"mqtt: the end of {name} was refused at {reply.front} with 0x{code:02x}: dropped")
+            self._done(name, reply)
+        elif fate is Fate.ACKNOWLEDGED:
             self._done(name, reply)
-        else:
-            return  # told again when somebody listens
-        for other in list(self._places.get((reply.front, reply.topic), ())):
-            if len(self._telling) >= TELLING_MOST:
+        # One place is free: the first that waits for one at this front, or at another.
+        for front in (reply.front, *self._queued):
+            if queued := self._queued.get(front):
+                first = next(iter(queued))
+                del queued[first]
+                self._publish(first)
                 return
-            self._publish(other)
 
     def _done(self, name: str, reply: Reply) -> None:
         pending = self._pending.get(name)
--- a/amberlug/mqtt/intake.py
+++ b/amberlug/mqtt/intake.py
@@ -127,6 +127,9 @@
         if not self.node.serves(message.destination):
             raise BadPublishError(INVALID_TOPIC, f"no such destination: {message.destination}")
         if (reply := self.reply(front, packet, default_topic)) is not None:
+            if self._mapped.route(reply.front, reply.topic) is not None:
+                # Guards against an end that is brought here again as a message, and has an end itself.
+                raise BadPublishError(INVALID_TOPIC, "messages come from the response topic")
             message.reply = reply.encode()
             if len(message.reply) > REPLY_MOST:
                 raise BadPublishError(INVALID_TOPIC, "response topic and correlation data are too long")
--- a/amberlug/mqtt/link.py
+++ b/amberlug/mqtt/link.py
@@ -222,7 +222,8 @@
         loop, every = asyncio.get_running_loop(), self.login.keep_alive / 2
         while not over.done():
             await asyncio.wait({over}, timeout=every)
-            if not over.done() and loop.time() - wire.last_heard > self.login.keep_alive * 1.5:
+            silent = loop.time() - wire.last_heard > self.login.keep_alive * 1.5
+            if not over.done() and silent and not wire.held:
                 wire.abort("silent")
             elif not over.done():
                 wire.write(Ping(Kind.PINGREQ))
--- a/amberlug/mqtt/listener.py
+++ b/amberlug/mqtt/listener.py
@@ -81,7 +81,7 @@
             return (SILENT, "no CONNECT in time") if now - self.since > GREETING else None
         if now - self.wire.last_heard > self._keep_alive:
             return SILENT, "silent for longer than its keep-alive"
-        if self.wire.begun and now - self.wire.last_heard > READING:
+        if self.wire.begun_for(now) > READING:
             return SILENT, "a packet did not come in time"
         return None
 
@@ -213,9 +213,9 @@
 
     def tell(self, packet: Publish, done: Told) -> bool:
         """Publish an end; False where it takes no more for now."""
-        if self.phase is not Phase.OPEN or not self._outgoing.room:
+        if not self._outgoing.room:
             return False
-        self._outgoing.publish(packet, lambda fate, code, told: done(fate))
+        self._outgoing.publish(packet, lambda fate, code, told: done(fate, code))
         return True
 
     def send_away(self, code: int, why: str) -> None:
@@ -297,10 +297,12 @@
     def listening(self, session: Session) -> None:
         self._ends.listening(LISTENER, session.hears)
 
-    def tell(self, packet: Publish, done: Told) -> bool:
+    def tell(self, packet: Publish, done: Told) -> bool | None:
         client = packet.topic.split("/")[1] if packet.topic.startswith(f"{ENDS}/") else ""
         session = self._clients.get(client)
-        return session is not None and session.hears(packet.topic) and session.tell(packet, done)
+        if session is None or session.phase is not Phase.OPEN or not session.hears(packet.topic):
+            return None
+        return session.tell(packet, done)
 
     def _look(self) -> None:
         loop = asyncio.get_running_loop()
--- a/amberlug/mqtt/mapping.py
+++ b/amberlug/mqtt/mapping.py
@@ -362,7 +362,19 @@
     keep = whole.number("keep_ends_s", 86_400, 1, 30 * 86_400)
     whole.finish()
     _twins(brokers, targets, problems)
-    return Mapped(brokers, listener, tuple(routes), targets, keep), problems
+    mapped = Mapped(brokers, listener, tuple(routes), targets, keep)
+    _loops(mapped, problems)
+    return mapped, problems
+
+
+def _loops(mapped: Mapped, problems: list[Problem]) -> None:
+    """Guard against ends that are brought here again as messages, and have ends themselves."""
+    for route in mapped.routes:
+        topic = re.sub(r"\{\d+\}", "x", route.ends)
+        for front in sorted(route.sources):
+            if topic and (found := mapped.route(front, topic)) is not None:
+                what = f"ends there come back as messages, by the filter {found[0].filter!r}"
+                problems.append(Problem(f"ends {route.ends!r}", what))
 
 
 def _twins(brokers: Mapping[str, Login], targets: Mapping[str, Target], problems: list[Problem]) -> None:
--- a/amberlug/mqtt/publisher.py
+++ b/amberlug/mqtt/publisher.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
-from typing import Any
+from collections import Counter
+from collections.abc import Callable, Mapping
 
 from amberlug.core.departure import departing
 from amberlug.core.messages import Attempt, Ending
@@ -20,6 +20,7 @@
 WAIT_MOST_MS = 3_600_000  # longest told wait that is kept
 NEVER_RAN = frozenset((0x87, 0x90, 0x91, 0x95, 0x99))  # not taken, and for this message never will be
 QUOTA = 0x97
+Place = tuple[str, Address]  # a kind, and the broker's address
 
 
 def ending(fate: Fate, code: int, told: Properties) -> Ending:
@@ -48,9 +49,9 @@
 
     def __init__(self, others: Transport, targets: Mapping[str, Target], clock: Clock) -> None:
         self._others, self._targets, self._clock = others, targets, clock
-        self._kinds: dict[str, str] = {}  # of endpoints that are topics
-        self._addresses: dict[str, Address] = {}
-        self._links: dict[tuple[str, Address], Link] = {}
+        self._places: dict[str, Place] = {}  # of endpoints that are topics
+        self._links: dict[Place, Link] = {}
+        self._used: Counter[Place] = Counter()  # by endpoints that are there, and by calls that are out
         self._out: dict[Attempt, asyncio.Future[Ending]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -64,43 +65,41 @@
 
     def locate(self, endpoint: str, address: Address | None, kind: str = "") -> None:
         """Learn where an endpoint's broker is; of the other kinds, pass it on."""
+        was = self._places.pop(endpoint, None)
         if kind in self._targets and address is not None:
-            self._kinds[endpoint], self._addresses[endpoint] = kind, address
-            return
-        if self._kinds.pop(endpoint, None) is not None:
-            del self._addresses[endpoint]
-            self._close_unused()
-        if kind not in self._targets:
+            self._places[endpoint] = kind, address
+            self._used[kind, address] += 1
+        elif was is None:
             self._others.locate(endpoint, address, kind)
+        if was is not None:
+            self._leave(was)
 
-    def _close_unused(self) -> None:
-        used = {(self._kinds[it], self._addresses[it]) for it in self._kinds}
-        for place in [it for it in self._links if it not in used]:
-            # A call that is out there still gets its answer: the connection goes once it is quiet.
-            if not any(task.get_name() == str(place) for task in self._tasks):
-                self._links.pop(place).stop()
+    def _leave(self, place: Place) -> None:
+        """Let go of a connection to where nothing goes any more, once no call is out there."""
+        self._used[place] -= 1
+        if not self._used[place]:
+            del self._used[place]
+            if (link := self._links.pop(place, None)) is not None:
+                link.stop()
 
     def close_idle(self, endpoint: str) -> None:
         """Leave the one connection to a broker open: it serves all endpoints there."""
-        if endpoint not in self._kinds:
+        if endpoint not in self._places:
             self._others.close_idle(endpoint)
 
     def call(self, endpoint: str, attempts: list[Attempt], fresh: bool) -> None:
-        kind = self._kinds.get(endpoint)
-        if kind is None:
+        place = self._places.get(endpoint)
+        if place is None:
             self._others.call(endpoint, attempts, fresh)
             return
-        place = kind, self._addresses[endpoint]
         if (link := self._links.get(place)) is None:
-            link = self._links[place] = Link(self._targets[kind].login, place[1])
+            link = self._links[place] = Link(self._targets[place[0]].login, place[1])
         for attempt in attempts:
             self._out[attempt] = asyncio.get_running_loop().create_future()
-            self._start(self._call(self._targets[kind], link, attempt), str(place))
-
-    def _start(self, work: Coroutine[Any, Any, None], name: str) -> None:
-        task = asyncio.get_running_loop().create_task(work, name=name)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+            self._used[place] += 1
+            task = asyncio.get_running_loop().create_task(self._call(place, link, attempt))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def call_off(self, attempt: Attempt) -> None:
         waits = self._out.get(attempt)
@@ -111,7 +110,7 @@
         _set(waits, Ending(Result.CALLED_OFF))
 
     def probe(self, endpoint: str, ended: Callable[[Ending], None]) -> None:
-        if endpoint not in self._kinds:
+        if endpoint not in self._places:
             self._others.probe(endpoint, ended)
             return
         # There is nothing to ask of a topic: only a publish tells.
@@ -125,14 +124,15 @@
     def _left(self, attempt: Attempt) -> float:
         return max(0.0, (attempt.until_us - self._clock.now_us()) / 1e6)
 
-    async def _call(self, target: Target, link: Link, attempt: Attempt) -> None:
+    async def _call(self, place: Place, link: Link, attempt: Attempt) -> None:
         how = Ending(Result.RESET)
         try:
-            how = await self._attempt(target, link, attempt)
+            how = await self._attempt(self._targets[place[0]], link, attempt)
         finally:
             # Guards against an error that leaves an attempt without an outcome, and its slot taken for good.
             del self._out[attempt]
             attempt.ended = True
+            self._leave(place)
             self._calls.ended(attempt, how)
 
     async def _attempt(self, target: Target, link: Link, attempt: Attempt) -> Ending:
--- a/amberlug/mqtt/subscriber.py
+++ b/amberlug/mqtt/subscriber.py
@@ -108,16 +108,18 @@
         log(f"mqtt: {self._login.name}: {packet.topic[:80]!r} is refused: {verdict.text}")
         reply = self._intake.reply(self._login.name, packet, "")
         if reply is not None:
-            self.tell(replies.refusal(reply, verdict.text), lambda fate: None)
+            self.tell(replies.refusal(reply, verdict.text), lambda fate, code: None)
 
     def _answer(self, packet: Publish, verdict: Verdict) -> None:
         if packet.qos:
             told: dict[P, object] = {P.REASON_STRING: verdict.text} if verdict.code else {}
             self.link.answer(packet.packet_id, verdict.code, told)
 
-    def tell(self, packet: Publish, done: Told) -> bool:
-        """Publish an end; False where the broker is not there, or takes no more for now."""
-        if not self.link.connected or not self.link.outgoing.room:
+    def tell(self, packet: Publish, done: Told) -> bool | None:
+        """Publish an end; None where the broker is not there, False where it takes no more for now."""
+        if not self.link.connected:
+            return None
+        if not self.link.outgoing.room:
             return False
-        self.link.outgoing.publish(packet, lambda fate, code, told: done(fate))
+        self.link.outgoing.publish(packet, lambda fate, code, told: done(fate, code))
         return True
--- a/amberlug/mqtt/wire.py
+++ b/amberlug/mqtt/wire.py
@@ -24,7 +24,8 @@
         self._transport: asyncio.Transport | None = None
         self._out: list[bytes] = []
         self._why = "closed by the other side"
-        self._held = False
+        self._begun_at: float | None = None
+        self.held = False
         self.closing = False
         self.last_heard = 0.0
 
@@ -33,16 +34,17 @@
         """The protocol level; 0 until it is known."""
         return self._decoder.version
 
-    @property
-    def begun(self) -> bool:
-        """Whether a packet has begun and not ended."""
-        return self._decoder.begun
+    def begun_for(self, now: float) -> float:
+        """Seconds since a packet began that has not ended; 0 without one."""
+        return 0.0 if self._begun_at is None else now - self._begun_at
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(UNSENT_MOST)
         self.last_heard = asyncio.get_running_loop().time()
+        if self.closing:  # it was given up before it stood
+            transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closing = True
@@ -54,11 +56,15 @@
         self._read()
 
     def _read(self) -> None:
-        while not self.closing and not self._held:
+        while not self.closing and not self.held:
             try:
                 packet = self._decoder.next()
                 if packet is None:
+                    # Guards against a packet that comes byte by byte, for ever: it counts from its first one.
+                    begun = self._begun_at if self._begun_at is not None else self.last_heard
+                    self._begun_at = begun if self._decoder.begun else None
                     return
+                self._begun_at = None
                 self._heard(packet)
             except MqttError as error:
                 self.fail(error.code, str(error))
@@ -72,14 +78,14 @@
 
     def hold(self) -> None:
         """Read nothing for now: what has come is too much."""
-        self._held = True
+        self.held = True
         if self._transport is not None:
             self._transport.pause_reading()
 
     def go_on(self) -> None:
         """Read again."""
-        if self._held and not self.closing and self._transport is not None:
-            self._held = False
+        if self.held and not self.closing and self._transport is not None:
+            self.held = False
             self._transport.resume_reading()
             asyncio.get_running_loop().call_soon(self._read)
 
--- /dev/null
+++ b/tests/test_mqtt_sessions.py
@@ -0,0 +1,321 @@
+"""Sessions and ends without sockets: packet ids, windows, QoS 2, ends that wait for room or a listener."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from amberlug.core.messages import End, Outcome
+from amberlug.mqtt import ends as ends_module
+from amberlug.mqtt.ends import MqttEnds, Told
+from amberlug.mqtt.fields import MqttError
+from amberlug.mqtt.packets import Ack, Kind, Publish
+from amberlug.mqtt.publisher import ending
+from amberlug.mqtt.replies import Reply, decode
+from amberlug.mqtt.sessions import Fate, Incoming, Outgoing
+from stoatusher.interface import Result
+
+
+@dataclass
+class Side:
+    """An `Outgoing` with all that it wrote, and what became of each publish."""
+
+    written: list[Publish | Ack] = field(default_factory=list)
+    fates: dict[str, Fate] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.out = Outgoing(self.written.append)
+        self.out.connected(False, 10)
+
+    def publish(self, name: str, qos: int = 2) -> int:
+        def done(fate: Fate, code: int, told: object) -> None:
+            assert name not in self.fates
+            self.fates[name] = fate
+
+        self.out.publish(Publish(name, b"", qos), done)
+        packet = self.written[-1]
+        assert isinstance(packet, Publish)
+        return packet.packet_id
+
+    def released(self) -> list[int]:
+        return [it.packet_id for it in self.written if isinstance(it, Ack) and it.kind is Kind.PUBREL]
+
+
+def test_at_qos_2_delivered_is_what_pubcomp_says() -> None:
+    side = Side()
+    number = side.publish("a")
+    side.out.came(Ack(Kind.PUBACK, number))  # the wrong kind
+    side.out.came(Ack(Kind.PUBREC, number + 1))  # nobody's: told that it is not known
+    assert side.written[-1] == Ack(Kind.PUBREL, number + 1, 0x92)
+    side.out.came(Ack(Kind.PUBREC, number))
+    assert side.fates == {}
+    side.out.came(Ack(Kind.PUBREC, number))  # twice
+    side.out.came(Ack(Kind.PUBCOMP, number))
+    side.out.came(Ack(Kind.PUBCOMP, number))
+    assert side.fates == {"a": Fate.ACKNOWLEDGED}
+
+
+def test_a_lost_packet_id_is_not_used_again_in_its_session() -> None:
+    side = Side()
+    lost = side.publish("a")
+    side.out.lost()
+    assert side.fates == {"a": Fate.LOST}
+    side.out.connected(True, 10)
+    side.out._last = 0  # as after all ids have gone round
+    assert side.publish("b") != lost
+    side.out.lost()
+    side.out.connected(False, 10)
+    side.out._last = 0
+    assert side.publish("c") == lost  # another session knows nothing of it
+
+
+def test_what_waits_for_pubcomp_goes_on_in_its_session_alone() -> None:
+    side = Side()
+    numbers = [side.publish("a"), side.publish("b")]
+    side.out.came(Ack(Kind.PUBREC, numbers[0]))
+    side.out.lost()
+    assert (side.fates, side.out.unreleased, side.out.room) == ({"b": Fate.LOST}, True, False)
+    side.out.connected(True, 10)
+    assert side.released() == [numbers[0]] * 2
+    side.out.lost()
+    side.out.connected(False, 10)
+    assert side.fates == {"b": Fate.LOST, "a": Fate.LOST}
+    assert side.out.unreleased is False
+
+
+def test_a_window_bounds_what_is_out_and_what_is_reserved() -> None:
+    side = Side()
+    side.out.connected(False, 2)
+    side.publish("a", 1)
+    side.out.reserve()
+    assert side.out.room is False
+    side.out.free()
+    assert side.out.room is True
+    side.out.lost()
+    side.out.publish(Publish("b", b"", 1), lambda fate, code, told: side.fates.update(b=fate))
+    assert side.fates["b"] is Fate.DROPPED
+
+
+@given(st.lists(st.tuples(st.sampled_from(["publish", "puback", "pubrec", "pubcomp", "lost", "kept", "new"]),
+                          st.integers(1, 6), st.sampled_from([0, 0x87])), max_size=40))  # fmt: skip
+def test_each_publish_has_one_fate_whatever_comes(steps: list[tuple[str, int, int]]) -> None:
+    side, names, up = Side(), 0, True
+    kinds = {"puback": Kind.PUBACK, "pubrec": Kind.PUBREC, "pubcomp": Kind.PUBCOMP}
+    for step, number, code in steps:
+        if step == "publish":
+            if up and side.out.room:
+                side.publish(f"{names}", 1 + number % 2)
+                names += 1
+        elif step in kinds and up:
+            side.out.came(Ack(kinds[step], number, code))
+        elif step == "lost" and up:
+            side.out.lost()
+            up = False
+        elif step in ("kept", "new") and not up:
+            side.out.connected(step == "kept", 4)
+            up = True
+    published = [it.packet_id for it in side.written if isinstance(it, Publish)]
+    assert all(1 <= it <= 0xFFFF for it in published)
+    side.out.lost()
+    side.out.connected(False, 4)
+    assert len(side.fates) == names  # and `publish` saw that none has two
+
+
+def test_publishes_are_answered_once_and_repeats_at_qos_2_without_being_offered() -> None:
+    side = Incoming(2)
+    first = Publish("a", b"", 2, 1)
+    assert side.came(first) == (True, None)
+    assert side.came(first) == (False, None)  # it is being dealt with
+    assert side.answer(1) == Ack(Kind.PUBREC, 1)
+    assert side.answer(1) is None
+    assert side.came(first) == (False, Ack(Kind.PUBREC, 1))
+    assert side.came(Publish("a", b"", 1, 2)) == (True, None)
+    with pytest.raises(MqttError) as error:
+        side.came(Publish("a", b"", 1, 3))
+    assert error.value.code == 0x93
+    side.connected(True)
+    assert side.answer(2) is None  # it comes again
+    assert side.released(1) == Ack(Kind.PUBCOMP, 1)
+    assert side.released(1) == Ack(Kind.PUBCOMP, 1, 0x92)
+    assert side.came(first) == (True, None)
+    assert side.answer(1, 0x97) == Ack(Kind.PUBREC, 1, 0x97)
+    assert side.came(first) == (True, None)  # refused, so it is a new one
+
+
+def test_what_a_fate_means_for_an_attempt() -> None:
+    results = {
+        (Fate.ACKNOWLEDGED, 0): Result.DONE, (Fate.ACKNOWLEDGED, 0x10): Result.DONE,
+        (Fate.DROPPED, 0): Result.UNCONNECTED, (Fate.LOST, 0): Result.RESET,
+        (Fate.REFUSED, 0x97): Result.REFUSED, (Fate.REFUSED, 0x87): Result.UNSENT, (Fate.REFUSED, 0x80): Result.ERROR,
+        (Fate.REFUSED, 0xFF): Result.ERROR,
+    }  # fmt: skip
+    assert {case: ending(*case, {}).result for case in results} == results
+
+
+# Ends.
+
+
+class Front:
+    """A front with room for so many, and topics that somebody listens to."""
+
+    def __init__(self, room: int) -> None:
+        self.room, self.heard = room, set[str]()
+        self.out: dict[str, Told] = {}
+        self.told: list[str] = []
+
+    def tell(self, packet: Publish, done: Told) -> bool | None:
+        if packet.topic not in self.heard:
+            return None
+        if len(self.out) >= self.room:
+            return False
+        name = packet.payload.split(b'"')[3].decode()
+        assert name not in self.out
+        self.out[name] = done
+        self.told.append(name)
+        return True
+
+    def finish(self, name: str, fate: Fate = Fate.ACKNOWLEDGED, code: int = 0) -> None:
+        self.out.pop(name)(fate, code)
+
+
+class NoNotices:
+    waiting = False
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def bind(self, acknowledged: Callable[[str], None]) -> None:
+        self.acknowledged = acknowledged
+
+    def owed(self, end: End) -> bool:
+        return end.outcome is not Outcome.DELIVERED
+
+    def tell(self, end: End) -> None:
+        self.told.append(end.message)
+
+    def send(self) -> None:
+        pass
+
+
+def end(name: str, topic: str = "t", noticed: bool = False, front: str = "hall") -> End:
+    return End(name, Outcome.GIVEN_UP, reply=Reply(front, topic, b"\0c").encode(), noticed=noticed)
+
+
+def desk(room: int = 2, keep_s: int = 100) -> tuple[MqttEnds, Front, NoNotices, list[str]]:
+    notices, front, over = NoNotices(), Front(room), list[str]()
+    ends = MqttEnds(notices, keep_s)
+    ends.bind(over.append)
+    ends.fronts["hall"] = front
+    return ends, front, notices, over
+
+
+def test_ends_that_find_no_room_go_as_others_are_acknowledged() -> None:
+    async def scenario() -> None:
+        ends, front, _, over = desk(room=2)
+        front.heard = {f"t{number}" for number in range(7)}
+        for number in range(7):
+            ends.tell(end(f"m{number}", f"t{number}"))
+        assert front.told == ["m0", "m1"]
+        while front.out:
+            front.finish(next(iter(front.out)))
+        assert front.told == over == [f"m{number}" for number in range(7)]
+        assert not ends.waiting
+
+    asyncio.run(scenario())
+
+
+def test_an_end_waits_for_who_listens_and_is_told_again_when_it_was_lost() -> None:
+    async def scenario() -> None:
+        ends, front, _, over = desk()
+        ends.tell(end("m"))
+        assert front.told == []
+        front.heard = {"t"}
+        ends.listening("other", lambda topic: True)
+        assert front.told == []
+        ends.listening("hall", lambda topic: topic == "t")
+        front.finish("m", Fate.LOST)
+        assert (front.told, over) == (["m"], [])
+        ends.listening("hall", lambda topic: True)
+        front.finish("m")
+        assert (front.told, over) == (["m", "m"], ["m"])
+        ends.listening("hall", lambda topic: True)
+        assert front.told == ["m", "m"]
+
+    asyncio.run(scenario())
+
+
+def test_an_end_that_is_told_twice_over_counts_once_both_have_it() -> None:
+    async def scenario() -> None:
+        ends, front, notices, over = desk()
+        front.heard = {"t"}
+        ends.tell(end("m", noticed=True))
+        assert notices.told == ["m"]
+        front.finish("m")
+        assert over == []
+        notices.acknowledged("m")
+        assert over == ["m"]
+        ends.tell(End("h", Outcome.GIVEN_UP))  # by HTTP alone
+        notices.acknowledged("h")
+        assert over == ["m", "h"]
+        assert ends.owed(End("h", Outcome.DELIVERED)) is False
+        assert ends.owed(End("m", Outcome.DELIVERED, reply=b"x")) is True
+
+    asyncio.run(scenario())
+
+
+def test_an_end_that_moves_while_it_is_told_is_told_at_the_new_place() -> None:
+    async def scenario() -> None:
+        ends, front, _, over = desk()
+        front.heard = {"t", "u"}
+        ends.tell(end("m", "t"))
+        ends.tell(end("m", "u"))
+        front.finish("m")  # the old place has it; that is not what was asked for last
+        assert over == []
+        ends.listening("hall", lambda topic: topic == "u")
+        front.finish("m")
+        assert over == ["m"]
+
+    asyncio.run(scenario())
+
+
+def test_refused_ends_are_dropped_those_without_quota_told_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(ends_module, "AGAIN", 0.0)
+        ends, front, _, over = desk()
+        front.heard = {"t"}
+        ends.tell(end("a"))
+        ends.tell(end("b"))
+        front.finish("a", Fate.REFUSED, 0x87)
+        front.finish("b", Fate.REFUSED, 0x97)
+        assert over == ["a"]
+        await asyncio.sleep(0.01)
+        front.finish("b")
+        assert over == ["a", "b"]
+
+    asyncio.run(scenario())
+
+
+def test_nobody_waits_for_an_end_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(ends_module, "LOOK", 0.001)
+        ends, _, _, over = desk(keep_s=0)
+        ends.start()
+        ends.tell(end("m"))
+        ends.tell(end("gone", front="no longer in the file"))
+        ends.tell(End("bad", Outcome.GIVEN_UP, reply=b"no address", noticed=False))
+        assert over == ["bad"]
+        await asyncio.sleep(0.02)
+        assert set(over) == {"bad", "m", "gone"}
+        ends.stop()
+
+    asyncio.run(scenario())
+
+
+def test_an_address_is_read_as_it_was_written() -> None:
+    reply = Reply("hall", "ends/é", b"\0\xff\0")
+    assert decode(reply.encode()) == reply
+    with pytest.raises(ValueError, match="."):
+        decode(b"hall\0")
