Test MQTT logins, silence, half packets, and keyed messages over a kill

Need: lines of the hard cases that no test showed: a packet that never ends, a side that does not read, a keep-alive that is not kept, users, a keyed class between PUBLISH and PUBACK; and that the daemon alone imports no front.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -2,6 +2,8 @@
 
 import ast
 import graphlib
+import subprocess
+import sys
 from pathlib import Path
 
 ROOT = Path(__file__).parents[1]
@@ -45,6 +47,15 @@
     assert list(graphlib.TopologicalSorter(graph).static_order())  # raises where there is a circle
 
 
+def test_the_daemon_alone_imports_no_front() -> None:
+    code = (
+        "import sys, amberlug.cli.main, amberlug.platform.daemon, amberlug.cli.checking\n"
+        "print([it for it in sys.modules if it.startswith(('amberlug.mqtt', 'amberlug.library', 'paho'))])"
+    )
+    out = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert out.stdout.strip() == "[]"
+
+
 def test_the_core_knows_no_sockets() -> None:
     for path in [*ROOT.glob("amberlug/core/**/*.py"), *ROOT.glob("stoatusher/*.py")]:
         names = {
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -15,7 +15,7 @@
 from amberlug.standin.broker import Bare, Broker, Packet, once
 from amberlug.standin.wire import OK, Platform, StandIn
 from tests.conftest import setup
-from tests.rig import Relay, free_port, member, run
+from tests.rig import Relay, free_port, hand_in, member, run
 
 MAPPING = """
 keep_ends_s = 600
@@ -108,7 +108,7 @@
 @asynccontextmanager
 async def world(
     folder: Path, partner: StandIn | None = None, version: str = "5.0", window: int = 20,
-    id: str = "property:id", broker: Broker | None = None, **changes: Any,
+    id: str = "property:id", broker: Broker | None = None, users: str = "", **changes: Any,
 ) -> AsyncIterator[World]:  # fmt: skip
     platform, partner, broker = Platform(), partner or StandIn(OK), broker or Broker()
     await platform.start()
@@ -116,7 +116,7 @@
     await broker.start()
     port = free_port()
     text = MAPPING.format(broker=broker.port, listener=port, version=version, window=window, id=id)
-    (folder / "mqtt.toml").write_text(text)
+    (folder / "mqtt.toml").write_text(text.replace("connections = 40", f"connections = 40\n{users}"))
     members = [
         member(partner.port, "http-1") | {"cell": 1},
         member(broker.port, "topic-2", kind="topic") | {"cell": 2},
@@ -493,6 +493,38 @@
     run(scenario())
 
 
+def test_half_a_packet_and_silence_take_nothing_on(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with world(tmp_path) as it:
+            half = await it.client("half")
+            half.send(mqtt.publish("pay/1", b"x" * 500, 1, 1, properties=user(id="p1"))[:200])
+            half.close()
+            quiet = await it.client("quiet", alive=1)
+            loop = asyncio.get_running_loop()
+            start = loop.time()
+            await quiet.gone()
+            assert loop.time() - start >= 1.4
+            assert quiet.of(mqtt.DISCONNECT)[0]["code"] == 0x8D
+            assert it.names() == []
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(("v5", "code"), [(True, 0x86), (False, 4)])
+def test_where_users_are_named_others_are_sent_away(tmp_path: Path, v5: bool, code: int) -> None:
+    async def scenario() -> None:
+        async with world(tmp_path, users='users = { board = "secret" }') as it:
+            for name, secret in (("board", "no"), ("x", "secret")):
+                bare = Bare(v5)
+                assert (await bare.connect(it.port, "b", user=name, password=secret))["code"] == code
+                await bare.gone()
+            good = await it.client(v5=v5, user="board", password="secret")
+            good.publish("entry/1", b'{"entry": {"key": "k"}}', 1, 1)
+            await good.until(mqtt.PUBACK)
+
+    run(scenario())
+
+
 def test_many_that_say_nothing_make_room_for_who_speaks(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with world(tmp_path) as it:
@@ -525,7 +557,7 @@
 
 
 async def give(it: World, name: str, kind: str, destination: int) -> int:
-    headers = {"Req-Id": name, "Req-Kind": kind, "Req-Deadline-Ms": "8000", "Envelope": f"dest={destination}"}
+    headers = hand_in(name, kind, Envelope=f"dest={destination}")
     return (await it.relay.ask("POST", f"/{kind}", headers, b"body of " + name.encode())).status
 
 
@@ -659,15 +691,17 @@
 def test_a_kill_between_publish_and_acknowledgement_gives_a_payment_up(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with world(tmp_path) as it:
-            it.broker.faults += [once(mqtt.PUBLISH, silent), once(mqtt.PUBLISH, silent)]
+            it.broker.faults += [once(mqtt.PUBLISH, silent) for _ in range(3)]
             assert await give(it, "a", "unsafe", 2) == 202
             assert await give(it, "b", "safe", 2) == 202
-            await it.broker.until(lambda: len(it.broker.of(mqtt.PUBLISH, "relay-out")) == 2)
+            assert await give(it, "c", "keyed", 2) == 202
+            await it.broker.until(lambda: len(it.broker.of(mqtt.PUBLISH, "relay-out")) == 3)
             await it.relay.kill()
             await it.relay.start()
             assert await it.platform.noticed() == [{"message": "a", "outcome": "given_up"}]
-            (again,) = await it.delivered(1)
-            assert dict(again["properties"][mqtt.USER])["id"] == "b"
+            again = [dict(one["properties"][mqtt.USER]) for one in await it.delivered(2)]
+            assert {one["id"] for one in again} == {"b", "c"}
+            assert {one.get("idempotency-key") for one in again} == {None, "key-c"}
 
     run(scenario())
 
--- a/tests/test_mqtt_sessions.py
+++ b/tests/test_mqtt_sessions.py
@@ -12,10 +12,11 @@
 from amberlug.mqtt import ends as ends_module
 from amberlug.mqtt.ends import MqttEnds, Told
 from amberlug.mqtt.fields import MqttError
-from amberlug.mqtt.packets import Ack, Kind, Publish
+from amberlug.mqtt.packets import V5, Ack, Kind, Publish
 from amberlug.mqtt.publisher import ending
 from amberlug.mqtt.replies import Reply, decode
 from amberlug.mqtt.sessions import Fate, Incoming, Outgoing
+from amberlug.mqtt.wire import Wire
 from stoatusher.interface import Result
 
 
@@ -145,12 +146,75 @@
     assert side.came(first) == (True, None)  # refused, so it is a new one
 
 
+class Pipe(asyncio.Transport):
+    """A transport that goes nowhere."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reading, self.gone = True, False
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+    def abort(self) -> None:
+        self.gone = True
+
+
+def test_a_packet_is_late_from_its_first_byte_on() -> None:
+    async def scenario() -> None:
+        wire, loop = Wire(lambda packet: None, lambda why: None, V5), asyncio.get_running_loop()
+        wire.connection_made(Pipe())
+        assert wire.begun_for(loop.time() + 9) == 0.0
+        wire.data_received(b"\xc0")
+        began = loop.time()
+        for _ in range(3):
+            wire.data_received(b"")
+        assert wire.begun_for(began + 9) >= 9
+        wire.data_received(b"\0" + b"\xc0")  # that one is whole, and another has begun
+        assert wire.begun_for(loop.time()) < 1
+        wire.data_received(b"\0")
+        assert wire.begun_for(loop.time() + 9) == 0.0
+
+    asyncio.run(scenario())
+
+
+def test_of_a_side_that_does_not_read_nothing_more_is_read() -> None:
+    async def scenario() -> None:
+        heard, pipe = list[object](), Pipe()
+        wire = Wire(heard.append, lambda why: None, V5)
+        wire.connection_made(pipe)
+        wire.pause_writing()
+        wire.data_received(b"\xc0\0" * 3)
+        assert (heard, pipe.reading) == ([], False)
+        wire.resume_writing()
+        await asyncio.sleep(0)
+        assert (len(heard), pipe.reading) == (3, True)
+
+    asyncio.run(scenario())
+
+
+def test_a_connection_given_up_before_it_stood_is_closed() -> None:
+    async def scenario() -> None:
+        wire, pipe = Wire(lambda packet: None, lambda why: None), Pipe()
+        wire.abort("too many")
+        wire.connection_made(pipe)
+        assert pipe.gone
+
+    asyncio.run(scenario())
+
+
 def test_what_a_fate_means_for_an_attempt() -> None:
     results = {
         (Fate.ACKNOWLEDGED, 0): Result.DONE, (Fate.ACKNOWLEDGED, 0x10): Result.DONE,
         (Fate.DROPPED, 0): Result.UNCONNECTED, (Fate.LOST, 0): Result.RESET,
-        (Fate.REFUSED, 0x97): Result.REFUSED, (Fate.REFUSED, 0x87): Result.UNSENT, (Fate.REFUSED, 0x80): Result.ERROR,
-        (Fate.REFUSED, 0xFF): Result.ERROR,
+        (Fate.REFUSED, 0x97): Result.REFUSED, (Fate.REFUSED, 0x87): Result.UNSENT,
+        (Fate.REFUSED, 0x80): Result.ERROR, (Fate.REFUSED, 0xFF): Result.ERROR,
     }  # fmt: skip
     assert {case: ending(*case, {}).result for case in results} == results
 
