--- a/amberlug/platform/discovery.py
+++ b/amberlug/platform/discovery.py
@@ -84,7 +84,7 @@
             line, self._rest = self._rest, self._rest[end + 1 :]  # without a copy of what may be long
             del line[end:]
             self._searched = 0
-            if line.strip():
+            if line and not line.isspace():  # strip() would copy what may be long
                 self._unread += len(line)
                 self._slices.add(self._read(line))
         self._searched = len(self._rest)
--- a/stoatusher/membership.py
+++ b/stoatusher/membership.py
@@ -8,13 +8,15 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
+from itertools import chain, islice
 
 from stoatusher.interface import Entry, State
 
 _ROW = struct.Struct("<qd?")  # destination, rate, whether it drains
 _SEPARATOR = "\0"
+LOOKS = 4  # of what was listed, so many are looked at for each entry told
 BATCH = 100  # entries that a host reads, or applies in one round, at a time: a millisecond or two
 
 
@@ -97,8 +99,9 @@
 
     def __init__(self, members: Members) -> None:
         self._members = members
-        self._few: list[str] = []  # the first that were told
-        self._unseen: dict[str, None] | None = None  # all others, once the news are long
+        self._listed = iter(members)
+        self._unseen: dict[str, None] = {}  # of those that were looked at: not told
+        self._early: set[str] = set()  # told before they were looked at
         self._gone: dict[str, None] = {}
         self._drained: dict[str, bytes] = {}
         self._altered: dict[str, bytes] = {}
@@ -117,41 +120,44 @@
             (self._drained if drains else self._altered if known else self._added)[name] = row
 
     def _see(self, name: str) -> None:
-        if self._unseen is not None:
-            self._unseen.pop(name, None)
-            return
-        self._few.append(name)
-        if len(self._few) > BATCH:  # a few changes must not cost a look at all that is listed
-            self._unseen = self._others()
-            self._few = []
-
-    def _others(self) -> dict[str, None]:
-        others = dict.fromkeys(self._members)
-        for name in self._few:
-            others.pop(name, None)
-        return others
+        if name in self._unseen:
+            del self._unseen[name]
+        elif name in self._members:
+            self._early.add(name)
+        self._look(LOOKS)  # so that neither a few changes nor a long list's end wait for a look at all
+
+    def _look(self, count: int) -> bool:
+        """Look at some more of what was listed: whether there were any."""
+        more = False
+        for name in islice(self._listed, count):
+            more = True
+            if name in self._early:
+                self._early.discard(name)
+            else:
+                self._unseen[name] = None
+        return more
 
     def batches(self, whole: bool) -> Iterator[tuple[Entry, ...]]:
         """All that changes, in parts for one round each; what wants nothing new comes first."""
         # What is gone drains at first, and goes last: a destination whose endpoint is replaced must not seem
         # to have nobody between two parts, which would end all that it holds.
-        gone = [*self._gone]
-        if whole:
-            gone += self._others() if self._unseen is None else self._unseen
-        self._unseen = None
+        while whole and self._look(LOOKS * BATCH):
+            yield ()
+        gone = self._gone, self._unseen if whole else ()  # as they are: copies would hold the loop up
         yield from _cut(self._drained)
-        for part in _parts(gone):
+        for part in _parts(chain(*gone)):
             rows = ((name, self._members.row(name)) for name in part)
             yield tuple(replace(unpack(name, row), state=State.DRAINING) for name, row in rows if row)
         yield from _cut(self._altered)
         yield from _cut(self._added)
-        for part in _parts(gone):
+        for part in _parts(chain(*gone)):
             yield tuple(Entry(name, "", "", 0, State.GONE, 0.0) for name in part)
 
 
-def _parts(names: list[str]) -> Iterator[list[str]]:
-    for start in range(0, len(names), BATCH):
-        yield names[start : start + BATCH]
+def _parts(names: Iterable[str]) -> Iterator[list[str]]:
+    left = iter(names)
+    while part := list(islice(left, BATCH)):
+        yield part
 
 
 def _cut(part: dict[str, bytes]) -> Iterator[tuple[Entry, ...]]:
