--- a/tests/test_mqtt_paho.py
+++ b/tests/test_mqtt_paho.py
@@ -84,3 +84,26 @@
         await broker.stop()
 
     run(scenario())
+
+
+def test_it_publishes_again_by_itself_what_was_lost() -> None:
+    """Why the relay does not use it on the way out: of a payment that is a second attempt."""
+
+    async def scenario() -> None:
+        broker = await Broker().start()
+        client = paho.Client(
+            CallbackAPIVersion.VERSION2, "c", protocol=MQTTProtocolVersion.MQTTv311, clean_session=False
+        )
+        client.reconnect_delay_set(1, 1)
+        broker.faults.append(mqtt.once(mqtt.PUBLISH, lambda broker, session, packet: broker.cut_off(session)))
+        client.connect("127.0.0.1", broker.port)
+        client.loop_start()
+        client.publish("pay/1", b"x", 1)
+        await broker.until(lambda: len(broker.of(mqtt.PUBLISH)) == 2)
+        first, second = broker.of(mqtt.PUBLISH)
+        assert (first["id"], first["payload"], second["dup"]) == (second["id"], second["payload"], True)
+        client.disconnect()
+        await asyncio.to_thread(client.loop_stop)
+        await broker.stop()
+
+    run(scenario())
