--- a/amberlug/core/journal/log.py
+++ b/amberlug/core/journal/log.py
@@ -35,15 +35,18 @@
     place_of,
     read_folder,
     sizes,
+    wait_of,
+    wait_record,
 )
 from amberlug.core.journal.room import SLICE_US, Room, Use, blocks
 from amberlug.core.journal.syncing import Entry, Syncer, Syncing
 from amberlug.core.log import log
 from amberlug.core.messages import Attempt, End, Ending, Message
-from amberlug.core.ports import Held, Memory
+from amberlug.core.ports import Held, Memory, Wait
 
 _encode = json.JSONEncoder(separators=(",", ":")).encode  # dumps() would make an encoder for each record
 NAMES = 2  # ended names that each record looks at, to forget those whose time is up
+TOLD_US = 600_000_000  # for so long beyond its end a told wait is known: another one may be as long
 MAY_FORGET_US = 3_600_000_000  # longest that a name of an earlier life is known, whatever the clocks say
 
 
@@ -103,6 +106,8 @@
         self._segments = deque(found.segments)
         self._number = found.last
         self._order, self._memory_at = found.order, found.memory_at
+        self.told = {key: wait for key, (wait, _) in found.told.items()}
+        self._told_at = {key: number for key, (_, number) in found.told.items()}
         self._live = {name: raw.places for name, raw in found.messages.items()}
         self._owed = {name for name, one in self.held.items() if one.end is not None}
         segments = {segment.number: segment for segment in self._segments}
@@ -241,6 +246,14 @@
             self.memory = memory
             self._note(it.MEMORY, "", _memory_record(memory))
 
+    def wait(self, wait: Wait) -> None:
+        key = wait.destination, wait.route
+        known = self.told.get(key)
+        if known is not None and known.left_us(self._clock_us(), wait.boot) >= wait.length_us:
+            return  # it waits for longer already
+        self.told[key] = wait
+        self._note(it.WAIT, "", wait_record(wait))
+
     def owe(self, message: Message, end: End) -> None:
         try:
             self._owe(message, end)
@@ -301,7 +314,7 @@
         """Write what could not be written before."""
         while self._late:
             kind, name, rest = self._late[0]
-            if kind == it.ENDED or name in self._live:
+            if kind in (it.ENDED, it.WAIT) or name in self._live:
                 self._append(kind, name, rest)
             self._late.popleft()
             if not self._late:
@@ -350,6 +363,9 @@
             self._use.live += size
         elif kind == it.MEMORY:
             self._memory_at = segment.number, offset
+        elif kind == it.WAIT:
+            wait = wait_of(rest)
+            self._told_at[wait.destination, wait.route] = segment.number
 
     def _put(self, segment: Segment, data: bytes) -> None:
         """Write at a segment's end. Half a record is cut off again, or its segment is left behind."""
@@ -408,7 +424,7 @@
         self._active = None
         self._roll()
         for kind, name, rest in entries:
-            if kind == it.MEMORY or self._says(kind, name):
+            if kind in (it.MEMORY, it.WAIT) or self._says(kind, name):
                 self._append(kind, name, rest)
         self._strays([segment.name for segment in doubtful])
 
@@ -479,6 +495,11 @@
             self._todo.extend([(name, True) for name in oldest.ends if name in self._ended])
             if self._memory_at[0] == oldest.number:
                 self._append(it.MEMORY, "", _memory_record(self.memory))
+            for key in [key for key, number in self._told_at.items() if number == oldest.number]:
+                if self.told[key].until_us + TOLD_US > self._clock_us():
+                    self._append(it.WAIT, "", wait_record(self.told[key]))
+                else:
+                    del self.told[key], self._told_at[key]
         while self._todo:
             name, ended = self._todo[0]
             if ended:
--- a/amberlug/core/journal/recovery.py
+++ b/amberlug/core/journal/recovery.py
@@ -11,7 +11,7 @@
 from amberlug.core.journal import records as it
 from amberlug.core.journal.disk import Disk
 from amberlug.core.messages import End, Message, Outcome
-from amberlug.core.ports import Held, Memory, Tried
+from amberlug.core.ports import Held, Memory, Tried, Wait
 from stoatusher import interface as api
 
 TAKE = struct.Struct(">QQQI")  # order, wall clock when taken and when its time is up, destination
@@ -21,6 +21,7 @@
 ENDED = struct.Struct(">QQ")
 HOW = struct.Struct(">BI")  # behind that, where it is known: how it ended, and when to come again
 REPLY = struct.Struct(">H?")  # how often it was changed, whether the platform is told; the address follows
+WAIT = struct.Struct(">qQQ")  # destination, length and until when by the boot's clock; boot and route follow
 DROPPED = struct.Struct(">Q")
 SYNCED = struct.Struct(">QQ")
 OUTCOMES = (Outcome.DELIVERED, Outcome.HANDED_BACK, Outcome.GIVEN_UP)  # by their number in a record
@@ -107,6 +108,7 @@
     ended: dict[str, tuple[int, int, int, End | None]] = field(default_factory=dict)
     memory: Memory = field(default_factory=lambda: Memory(0, 0))
     memory_at: tuple[int, int] = (0, 0)
+    told: dict[tuple[int, str], tuple[Wait, int]] = field(default_factory=dict)  # with its segment
     damage: list[Damage] = field(default_factory=list)
     unread: list[tuple[int, str, int]] = field(default_factory=list)  # number, name and size: no head
     left: int = 0  # bytes in files that are of no use, and are left for an operator to look at
@@ -252,6 +254,9 @@
         found.ended[name] = until_ms, ended_ms, segment, _how(name, rest[ENDED.size :])
     elif kind == it.MEMORY:
         found.memory, found.memory_at = _memory(rest), (segment, record.offset)
+    elif kind == it.WAIT:
+        wait = wait_of(rest)
+        found.told[wait.destination, wait.route] = wait, segment
     elif kind in (it.DROPPED, it.SYNCED):
         pass  # seen before
     elif name not in found.ended:
@@ -303,6 +308,18 @@
     return Memory(fields["wall"], fields["clock"], tuple(api.Seen(*row) for row in fields["seen"]))
 
 
+def wait_of(rest: bytes) -> Wait:
+    """A told wait, of which the newest record counts."""
+    boot, _, route = rest[WAIT.size :].decode().partition("\0")
+    destination, length_us, until_us = WAIT.unpack_from(rest)
+    return Wait(destination, route, length_us, until_us, boot)
+
+
+def wait_record(wait: Wait) -> bytes:
+    """The rest of its record."""
+    return WAIT.pack(wait.destination, wait.length_us, wait.until_us) + f"{wait.boot}\0{wait.route}".encode()
+
+
 def held(found: Found, now_ms: int) -> dict[str, Held]:
     """What is to go on: messages in the order in which they were taken, after ends that are owed."""
     owed: dict[str, Held] = {}
--- a/amberlug/core/node.py
+++ b/amberlug/core/node.py
@@ -12,7 +12,7 @@
 from amberlug.core.listing import address
 from amberlug.core.log import log
 from amberlug.core.messages import Attempt, End, Ending, Exchange, Message, Outcome, Reason, Refusal
-from amberlug.core.ports import Clock, Ends, Handle, Held, Journal, Memory, News, Observer, Transport
+from amberlug.core.ports import Clock, Ends, Handle, Held, Journal, Memory, News, Observer, Transport, Wait
 from stoatusher import interface as api
 from stoatusher.interface import Result
 from stoatusher.lasting import LastingSender
@@ -69,7 +69,7 @@
     def restore(self) -> None:
         """Go on with what the journal holds, the oldest first."""
         now_ms = self._clock.wall_ms()
-        self._events.append(api.Remembered(self._remembered(now_ms)))
+        self._events.append(api.Remembered(self._remembered(now_ms), tuple(self._waits())))
         for held in self._journal.held.values():
             if held.end is not None:
                 self._owed[held.message.name] = held.message.deadline_ms, held.end
@@ -96,6 +96,13 @@
             for it in memory.seen
         )
 
+    def _waits(self) -> Iterator[api.Waiting]:
+        """What the last life was told to wait, by this one's clock."""
+        now_us = self.now_us()
+        for wait in self._journal.told.values():
+            left_us = wait.left_us(now_us, self._clock.boot)
+            yield api.Waiting(wait.destination, wait.route, wait.length_us, left_us)
+
     def close(self) -> None:
         """Take nothing on and start no calls from now on; what is out is still collected."""
         self.closing = True
@@ -252,6 +259,8 @@
         message = attempt.message
         del self._attempts[message.ref, attempt.number]
         now = self.now_us()
+        if how.wait_us > 0:  # before all else: it binds from now on, also a next life
+            self._told_to_wait(attempt, now, how.wait_us)
         delivered = how.result is Result.DONE or how.over
         if self._observer is not None:
             self._observer.outcome(attempt, how)
@@ -276,6 +285,11 @@
             )
         )
 
+    def _told_to_wait(self, attempt: Attempt, now_us: int, wait_us: int) -> None:
+        route = self._sender.route(attempt.endpoint)
+        wait = Wait(attempt.message.destination, route, wait_us, now_us + wait_us, self._clock.boot)
+        self._journal.wait(wait)
+
     def _acknowledged(self, name: str) -> None:
         if (owed := self._owed.pop(name, None)) is not None:  # else it was told once more
             until_ms, end = owed
--- a/amberlug/core/ports.py
+++ b/amberlug/core/ports.py
@@ -31,6 +31,10 @@
     def wall_ms(self) -> int:
         """Unix time in milliseconds: only what must hold across restarts counts by it."""
 
+    @property
+    def boot(self) -> str:
+        """Which run of the machine `now_us` counts from the start of; empty where that is not known."""
+
     def at(self, when_us: int, callback: Callable[..., object], *args: object) -> Handle:
         """Call back at that time or soon after, never before and never at once."""
 
@@ -144,6 +148,25 @@
         return min(left, self.message.deadline_ms - self.taken_ms) if self.taken_ms else left
 
 
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """A wait that an endpoint told: whom it binds, how long it was, and until when by the clock of a boot."""
+
+    destination: int
+    route: str  # the endpoint where its destination's are routes apart; else empty
+    length_us: int
+    until_us: int
+    boot: str
+
+    def left_us(self, now_us: int, boot: str) -> int:
+        """How long it still runs; the whole of it where this clock does not go on with that one."""
+        # Guards against a wall clock that was set: by it a wait could be cut short, or last for a week.
+        # Could do harm after the machine itself started again: a wait that is over by then runs once more.
+        if not boot or boot != self.boot:
+            return self.length_us
+        return min(self.length_us, max(0, self.until_us - now_us))
+
+
 @dataclass(frozen=True, slots=True)
 class Memory:
     """What the last life had seen, and when that was by its own clock and by the wall's."""
@@ -158,6 +181,7 @@
 
     held: dict[str, Held]
     memory: Memory
+    told: dict[tuple[int, str], Wait]  # the told wait that ends last, of each destination or route
 
     def knows(self, name: str) -> bool:
         """Whether a message with that name was taken on, and its time may not be up."""
@@ -192,6 +216,9 @@
     def remember(self, memory: Memory) -> None:
         """Record what the next life should know of the endpoints."""
 
+    def wait(self, wait: Wait) -> None:
+        """Record a told wait, at once: it binds the next life too."""
+
     @property
     def waits(self) -> bool:
         """Whether what is recorded outlasts what it should only later."""
--- a/amberlug/http/calls.py
+++ b/amberlug/http/calls.py
@@ -62,7 +62,7 @@
         return Ending(Result.UNSENT, report=told)
     if reply.status == 410:
         return Ending(Result.UNSENT, over=True, report=told)
-    return Ending(Result.ERROR, report=told)
+    return Ending(Result.ERROR, wait_us(reply), report=told)
 
 
 def batch_endings(reply: Reply, names: Sequence[str]) -> Mapping[str, Ending]:
@@ -301,11 +301,11 @@
         if min(attempt.until_us for attempt in attempts) <= self._clock():
             # Guards against a late answer to several that a loop held up reads before it gives the call up:
             # what it says of each may count for nobody. It could do harm to one that came just in time.
-            self._end_all(attempts, Ending(Result.SPOILT))
+            self._end_all(attempts, Ending(Result.SPOILT, wait_us(reply)))
             return
         ends = batch_endings(reply, names)
         for attempt in attempts:
-            self._end(attempt, ends.get(attempt.message.name, Ending(Result.ERROR)))
+            self._end(attempt, ends.get(attempt.message.name, Ending(Result.ERROR, wait_us(reply))))
 
     def _give_up(self, attempts: list[Attempt]) -> int:
         """End what is out of time; how long the next one has.
--- a/stoatusher/account.py
+++ b/stoatusher/account.py
@@ -66,6 +66,7 @@
         self.settings = settings
         self.reserved: dict[Started, None] = {}  # oldest first
         self.blocked_until, self.usual_us = 0, FIRST_GUESS_US
+        self.told_us = 0  # the last told wait of an earlier life
         self.learned, self.learned_us = OPEN, 0  # M learned from the last refusal, and when
         self.pace, self.pace_us = 1.0, 0  # own calls done a second, and when that was last reckoned
         self.listed = rate  # what the list says, whatever was reported since
--- a/stoatusher/interface.py
+++ b/stoatusher/interface.py
@@ -196,11 +196,25 @@
     learned_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A told wait of the last life: the whole of it, and how long it still runs, 0 where it is over.
+
+    It binds a destination, or where its endpoints are routes apart the one that `route` names.
+    """
+
+    destination: int
+    route: str
+    length_us: int
+    left_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Remembered:
     """What this relay had seen before its restart."""
 
     seen: tuple[Seen, ...]
+    waits: tuple[Waiting, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -26,6 +26,7 @@
 LONE_RATE, REUSED_RATE = 0.25, 0.45  # failure rates below which a reset is one of few: two, or four, in a row
 STALE_WEIGHT = 0.02  # weight of the newest call on a used connection in the rate of those that were reset
 STALE_RATE = 0.05  # rate above which what can't be repeated goes on a new connection, at a handshake each
+UNHEARD_US = 2_000_000  # longest wait that is presumed to have been told and not heard, as the process ended
 KEEP = 0.75  # a message that keeps less of its worth over a planned restart is handed back for another relay
 
 
@@ -87,6 +88,8 @@
 
     def remember(self, event: api.Remembered) -> None:
         """Go on with the bound on what is cold, and with limits, where the last life left off."""
+        for wait in event.waits:
+            self.go_on_waiting(wait)
         # Guards against a new life that pushes over what its last life saw fail, or overspends a limit.
         for seen in event.seen:
             entry = self.members.get(seen.endpoint)
@@ -100,6 +103,20 @@
             account.learned, account.learned_us = seen.learned, seen.learned_us
             account.stretched = int(account.window / min(1.0, account.learned))
 
+    def route(self, name: str) -> str:
+        """Whom a wait binds that an endpoint tells: its route alone, or (empty) all its destination."""
+        entry = self.members.get(name)
+        return name if entry is not None and self.settings.kinds[entry.kind].apart else ""
+
+    def go_on_waiting(self, wait: api.Waiting) -> None:
+        """Heed what is left of a told wait, also where nobody is listed there yet."""
+        # Guards against calls into a wait that was told before the restart: they break the rule.
+        to = self.awaken(wait.destination)
+        to.gone = not self.serves(wait.destination)
+        account = to.accounts.setdefault(wait.route, Account(self.settings, None))
+        account.blocked_until = max(account.blocked_until, self.now + wait.left_us)
+        account.told_us = wait.length_us
+
     def take(self, event: api.Taken) -> None:
         """Hold a message for a little less than its time, unless this relay is too far behind."""
         if self.too_busy(event):
@@ -166,6 +183,11 @@
     def earlier(self, attempt: api.Earlier, message: Message) -> Call:
         """Rebuild an attempt that may have run; where its zone is no longer known, its key is not either."""
         start_us = self.now - attempt.ago_us
+        if attempt.result is None and attempt.endpoint in self.endpoints:
+            # Guards against a wait that was told as the process ended, and that nobody heard. Could do harm
+            # where none was told: what is meant for that destination waits as long as the last one was.
+            account = self.endpoints[attempt.endpoint].account
+            account.blocked_until = max(account.blocked_until, self.now + min(account.told_us, UNHEARD_US))
         if (endpoint := self.endpoints.get(attempt.endpoint)) is None:
             entry = api.Entry(attempt.endpoint, "", "", 0, State.GONE, 0.0)
             endpoint = Endpoint(entry, Account(self.settings, None), deque(maxlen=1))
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from amberlug.core.ports import Wait
 from stoatusher import interface as api
 from stoatusher.interface import Result, State
 from stoatusher.lasting import BEHIND_US, LastingSender
@@ -66,6 +67,28 @@
     assert second.seen() == first.seen()
 
 
+def test_a_told_wait_outlasts_a_restart_also_of_what_is_not_listed_yet() -> None:
+    sender = lasting()
+    waits = tuple(api.Waiting(number, "", 3 * SECOND, 2 * SECOND) for number in (1, 2))
+    sender.step(START + 1, [api.Remembered((), waits)])
+    late = api.Entry("b", "north", "plain", 2, State.IN, 5.0)
+    sender.step(START + 2, [api.Listed(api.ListKind.PATCH, (late,))])
+    both = [taken(1, "safe"), replace(taken(2, "safe"), destination=2)]
+    assert not of(sender.step(START + 3, both), api.Send)
+    timers = of(sender.step(START + 4, []), api.Timer)
+    assert not timers  # they were set before
+    due = [api.Due(label) for label in list(sender.timers)]
+    assert len(of(sender.step(START + 1 + 2 * SECOND, due), api.Send)) == 2
+
+
+@pytest.mark.parametrize(("boot", "now_us", "left_us"), [
+    ("a", 1_000, 9_000), ("a", 9_999, 1), ("a", 60_000, 0), ("b", 60_000, 10_000), ("", 60_000, 10_000),
+    ("a", 0, 10_000),
+])  # fmt: skip
+def test_a_told_wait_is_neither_cut_short_nor_made_longer(boot: str, now_us: int, left_us: int) -> None:
+    assert Wait(1, "", 10_000, 10_000, "a").left_us(now_us, boot) == left_us
+
+
 def test_closing_hands_back_only_what_would_lose_most() -> None:
     classes = setup()["Categories"]
     classes[0]["LateWorth"] = 0.1  # keeps 60 % over the restart, the keyed one 78 %
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -4,11 +4,14 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
-from amberlug.standin.wire import OK, StandIn
+from amberlug.core.journal import FolderDisk
+from amberlug.core.journal.recovery import read_folder
+from amberlug.standin.wire import OK, PATIENCE, Answer, StandIn
 from tests.rig import run, world
 
 
@@ -65,6 +68,50 @@
     run(scenario())
 
 
+async def heard(folder: Path, name: str) -> None:
+    """Wait until the journal tells how a message's first attempt ended."""
+    async with asyncio.timeout(PATIENCE):
+        while True:
+            found = read_folder(FolderDisk(folder, writable=False))
+            one = found.messages.get(name)
+            if name in found.ended or (one is not None and 0 in one.tried and one.tried[0].result):
+                return
+            await asyncio.sleep(0.002)
+
+
+@pytest.mark.parametrize("status", [429, 503, 500, 200])
+def test_a_told_wait_is_heeded_after_a_kill(tmp_path: Path, status: int) -> None:
+    async def scenario() -> None:
+        told: Answer = (status, [("Wait-Ms", "1500")], b"")
+        endpoint = StandIn(OK, told)
+        async with world(tmp_path, endpoint) as (relay, _):
+            began = time.monotonic()
+            await relay.hand_in("m1")
+            await heard(tmp_path / "state", "m1")
+            await relay.kill()
+            await relay.start()
+            await relay.hand_in("m2")
+            first, second, *_ = await endpoint.requests(2)
+            assert second.at > max(began, first.at) + 1.5
+            assert second.at < began + 1.5 + PATIENCE / 4  # soon after
+
+    run(scenario())
+
+
+def test_a_wait_that_may_have_been_told_as_the_process_ended_is_presumed(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        endpoint = StandIn(OK, (429, [("Wait-Ms", "900")], b""), None)
+        async with world(tmp_path, endpoint) as (relay, _):
+            await relay.hand_in("m1")
+            await endpoint.requests(2)  # the second call is out
+            await relay.kill()
+            killed = time.monotonic()
+            await relay.start()
+            assert (await endpoint.requests(3))[2].at > killed + 0.9
+
+    run(scenario())
+
+
 def test_an_unanswered_notice_is_sent_by_the_next_life(tmp_path: Path) -> None:
     async def scenario() -> None:
         endpoint = StandIn((500, [], b""))
