--- a/amberlug/cli/main.py
+++ b/amberlug/cli/main.py
@@ -43,6 +43,13 @@
     learned[2].add_argument("other", type=Path)
     learned[3].add_argument("--destination", type=int, required=True)
     learned[3].add_argument("--endpoint", help="only its health; else all of the destination but told waits")
+    lab = commands.add_parser("lab", help="play a whole service in virtual time (needs the extra `lab`)")
+    actions = lab.add_subparsers(dest="action", metavar="ACTION", required=True)
+    played = actions.add_parser("run", help="play scenarios, and sum up what came of them")
+    played.add_argument("scenario", nargs="*", help="a name of the library, or a file; none for the library")
+    played.add_argument("--seeds", type=int, default=8, help="plays of each")
+    played.add_argument("--jobs", type=int, help="processes; as many as there are cores")
+    played.add_argument("--store", type=Path, default=Path("lab.db"), help="where runs are kept")
     for command in (check, trial, inspect, verify, salvage, *learned):
         command.add_argument("--json", action="store_true", help="print one JSON object, for machines")
     return it
@@ -68,6 +75,10 @@
         from amberlug.cli import learnings
 
         return learnings.main(options)
+    if options.command == "lab":
+        from amberlug.cli import labs
+
+        return labs.main(options.scenario, options.seeds, options.jobs, options.store)
     from amberlug.platform import daemon
 
     if not os.environ.get("AMBERLUG_MQTT"):
--- /dev/null
+++ b/amberlug/lab/disk.py
@@ -0,0 +1,52 @@
+"""A folder in memory that outlasts a relay's lives, with the room that it has."""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Callable
+
+BLOCK = 512
+
+
+class MemoryDisk:
+    """Files as bytes. What was written outlasts the process; `full` has every write fail."""
+
+    def __init__(self, room_bytes: int) -> None:
+        self._room, self.full = room_bytes, False
+        self._files: dict[str, bytearray] = {}
+        self.written = 0
+
+    def _check(self, more: int) -> None:
+        used = sum(-(-len(data) // BLOCK) * BLOCK for data in self._files.values())
+        if self.full or used + more > self._room:
+            raise OSError(errno.ENOSPC, "the disk is full")
+
+    def files(self) -> dict[str, int]:
+        return {name: len(data) for name, data in self._files.items()}
+
+    def create(self, name: str) -> None:
+        self._check(0)
+        if name in self._files:
+            raise FileExistsError(name)
+        self._files[name] = bytearray()
+
+    def append(self, name: str, data: bytes) -> int:
+        self._check(len(data))
+        self._files[name] += data
+        self.written += len(data)
+        return len(data)
+
+    def read(self, name: str, offset: int, size: int) -> bytes:
+        return bytes(self._files[name][offset : offset + size])
+
+    def truncate(self, name: str, size: int) -> None:
+        del self._files[name][size:]
+
+    def remove(self, name: str) -> None:
+        del self._files[name]
+
+    def syncs(self, names: list[str], folder: bool) -> Callable[[], None]:
+        return lambda: None
+
+    def close(self) -> None:
+        """Leave the files to the next life."""
--- /dev/null
+++ b/amberlug/lab/partners.py
@@ -0,0 +1,163 @@
+"""Endpoints as a model: service times, concurrency, queues, limits, cold returns, faults."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import numpy as np
+
+from amberlug.lab.clock import SECOND, Time
+from amberlug.lab.scenario import Partner
+from amberlug.standin.checker import Call, Checker, Ran
+from stoatusher.interface import Result
+
+COLD_SHARE, WARM_S = 0.15, 12.0  # what one that is back can do at first, and until it can do all
+OVERLOAD, OVERLOAD_S = 2.5, 2.0  # times that, for so long: it falls over
+
+
+@dataclass(slots=True)
+class Answer:
+    """What comes back; without a result nothing does."""
+
+    result: Result | None
+    wait_us: int = 0
+
+
+class Pending:
+    """One call at an endpoint."""
+
+    __slots__ = ("answer", "calls", "checker", "gone")
+
+    def __init__(self, checker: Checker, calls: list[Call], answer: Callable[[Answer], None]) -> None:
+        self.checker, self.calls, self.answer, self.gone = checker, calls, answer, False
+
+
+class Destination:
+    """What the endpoints of one partner share: its limit, and a wait that was told."""
+
+    def __init__(self, number: int, rate: float) -> None:
+        self.number, self.rate = number, rate
+        self.starts: deque[int] = deque()
+
+    def over_limit(self, now_us: int) -> bool:
+        """Whether a call is one too many; one that is not counts."""
+        if not self.rate:
+            return False
+        while self.starts and self.starts[0] <= now_us - SECOND:
+            self.starts.popleft()
+        if len(self.starts) >= self.rate:
+            return True
+        self.starts.append(now_us)
+        return False
+
+
+class Endpoint:
+    """One server. Its random numbers are its own, so that what others do shifts none of them."""
+
+    def __init__(
+        self,
+        name: str,
+        of: Destination,
+        told: Partner,
+        time: Time,
+        seed: np.random.SeedSequence,
+    ) -> None:
+        self.name, self.of, self._told, self._time = name, of, told, time
+        self._chance = np.random.Generator(np.random.PCG64(seed))
+        self._pace = float(np.exp(self._chance.normal(0, told.pace_spread)))
+        self._serving = 0
+        self._queue: deque[Pending] = deque()
+        self.state = "well"  # or down, silent, shut, errors, slow
+        self.part = 0.0
+        self.back_us: int | None = None  # since when it is back from an outage
+        self._loads: deque[int] = deque()
+        self.fell_over = False
+        self.calls = self.refused = 0
+
+    def fail(self, state: str, part: float) -> None:
+        """Begin a fault; what is being served is lost where it is down."""
+        self.state, self.part = state, part
+
+    def recover(self) -> None:
+        """End a fault; after an outage it is back, and cold."""
+        if self.state in ("down", "silent", "shut", "errors"):
+            self.back_us = self._time.us
+        self.state = "well"
+
+    def warmth(self) -> float:
+        """What it can do, as a part of what it can when warm."""
+        if self.back_us is None:
+            return 1.0
+        return min(1.0, COLD_SHARE + (1 - COLD_SHARE) * (self._time.us - self.back_us) / (WARM_S * SECOND))
+
+    def arrive(
+        self, checker: Checker, names: list[str], reused: bool, answer: Callable[[Answer], None]
+    ) -> Pending | None:
+        """Take a call, which the checker of its relay sees; None where the connection does not come up."""
+        now = self._time.us
+        if self.state == "down" or self.fell_over:
+            return None
+        began = [checker.began(name, self.name, now / SECOND) for name in names]
+        pending = Pending(checker, [call for call in began if call is not None], answer)
+        self.calls += 1
+        self._note_load(now)
+        drawn, wants = self._chance.random(4), self._told
+        if self.state == "silent":
+            return pending
+        if self.state == "shut" or self.of.over_limit(now) or len(self._queue) >= wants.queue:
+            self.refused += 1
+            wait_us = int(wants.wait_ms * 1000) if drawn[0] < wants.tells_wait else 0
+            if wait_us:
+                checker.told_wait(self.of.number, now / SECOND, wait_us / SECOND)
+            self._end(pending, Answer(Result.REFUSED, wait_us), Ran.NEVER)
+        elif reused and drawn[1] < wants.resets:
+            self._end(pending, Answer(Result.RESET), Ran.MAY)
+        elif drawn[2] < (self.part if self.state == "errors" else wants.errors):
+            self._end(pending, Answer(Result.ERROR), Ran.MAY)
+        else:
+            self._queue.append(pending)
+            self._serve()
+        return pending
+
+    def _note_load(self, now: int) -> None:
+        """Fall over where one that is cold is sent too much for too long."""
+        self._loads.append(now)
+        while self._loads and self._loads[0] < now - OVERLOAD_S * SECOND:
+            self._loads.popleft()
+        can = self._told.concurrency / (self._told.answer_ms / 1000 * self._pace) * self.warmth()
+        if self.back_us is not None and self.warmth() < 1 and len(self._loads) > can * OVERLOAD * OVERLOAD_S:
+            self.fell_over = True
+
+    def _serve(self) -> None:
+        while self._queue and self._serving < max(1, int(self._told.concurrency * self.warmth())):
+            pending = self._queue.popleft()
+            if pending.gone:
+                continue
+            self._serving += 1
+            slower = self.part if self.state == "slow" else 1.0
+            took = self._told.answer_ms * 1000 * self._pace * slower
+            took *= float(np.exp(self._chance.normal(0, self._told.spread)))
+            self._time.after(took, self._done, pending)
+
+    def _done(self, pending: Pending) -> None:
+        self._serving -= 1
+        self._end(pending, Answer(Result.DONE), Ran.YES)
+        self._serve()
+
+    def _end(self, pending: Pending, answer: Answer, ran: Ran) -> None:
+        if pending.gone:
+            return
+        pending.gone = True
+        delivered = answer.result is Result.DONE
+        for call in pending.calls:
+            pending.checker.ended(call, self._time.us / SECOND, ran, delivered)
+        pending.answer(answer)
+
+    def hang_up(self, pending: Pending) -> None:
+        """The relay closed the connection: what was not served is not, what is may run on."""
+        if not pending.gone:
+            pending.gone = True
+            for call in pending.calls:
+                pending.checker.ended(call, self._time.us / SECOND, Ran.MAY)
--- /dev/null
+++ b/amberlug/lab/play.py
@@ -0,0 +1,281 @@
+"""Plays a scenario: world, clients and relays in virtual time, and what came of it."""
+
+from __future__ import annotations
+
+import hashlib
+import statistics
+from collections import defaultdict
+from dataclasses import dataclass, replace
+from typing import Any
+
+import numpy as np
+
+from amberlug.core.messages import End, Message, Refusal
+from amberlug.lab.clock import SECOND, START_MS, START_US, Time
+from amberlug.lab.partners import Destination, Endpoint
+from amberlug.lab.relay import Relay
+from amberlug.lab.scenario import Fault, Scenario
+from amberlug.standin.checker import LATE, Repeat, Track
+from amberlug.standin.deployment import settings as usual_settings
+from stoatusher import interface as api
+from stoatusher.settings import read_settings
+
+KEY_LIFE_S = 15.0
+LIST_DELAY_S = 0.5  # until relays hear of a change of the list
+AGAIN_S = 0.5  # until a client comes again that nobody told when to
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One class of message."""
+
+    name: str
+    repeat: Repeat
+    aim_s: float
+    deadline_s: float
+    worth: float
+    late_worth: float
+
+
+KINDS = (
+    Kind("result", Repeat.SAFE, 1.0, 6.0, 2.0, 0.1),
+    Kind("entry", Repeat.KEYED, 4.0, 16.0, 1.0, 0.5),
+    Kind("payment", Repeat.UNSAFE, 2.0, 20.0, 4.0, 0.4),
+)
+
+
+def stream(seed: int, name: str) -> np.random.SeedSequence:
+    """The random numbers of one entity: a change in one shifts none of the others."""
+    words = np.frombuffer(hashlib.blake2b(name.encode(), digest_size=16).digest(), dtype=np.uint32)
+    return np.random.SeedSequence(entropy=seed, spawn_key=tuple(int(it) for it in words))
+
+
+def settings_of(scenario: Scenario) -> api.Settings:
+    """What the platform would tell a relay of this world."""
+    world, told = scenario.world, usual_settings()
+    told["Categories"] = [
+        {"Name": it.name, "Semantics": it.repeat.value, "Group": "all", "KeyTtlUs": int(KEY_LIFE_S * SECOND),
+         "AimUs": int(it.aim_s * SECOND), "DeadlineUs": int(it.deadline_s * SECOND), "Worth": it.worth,
+         "LateWorth": it.late_worth}
+        for it in KINDS
+    ]  # fmt: skip
+    told |= {"Balancers": world.relays, "Weights": "nominal" if scenario.partner.rate else "none"}
+    told["FamilyInfo"]["Slots"] = world.slots
+    told["Bounds"] |= {"MaxOpen": world.max_open, "ConnIdleUs": int(world.idle_s * SECOND)}
+    return read_settings(told)
+
+
+@dataclass(slots=True)
+class Wish:
+    """What a client wants delivered, whatever it takes; `worth` counts at the first delivery."""
+
+    kind: Kind
+    began_us: int
+    tries: int = 0
+    calls: int = 0
+    delivered_us: int | None = None
+
+
+class Request:
+    """One hand-in of a wish under an id of its own."""
+
+    def __init__(self, play: Play, relay: Relay, wish: Wish, name: str, number: int) -> None:
+        self._play, self.relay, self.wish, self.name, self.number = play, relay, wish, name, number
+
+    def settle(self, refusal: Refusal | None) -> None:
+        self._play.answered(self, refusal)
+
+
+class Play:
+    """One scenario with one seed."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario, self.seed, self.time = scenario, seed, Time()
+        world = scenario.world
+        self._trace = hashlib.blake2b(digest_size=16)
+        self.endpoints: dict[str, Endpoint] = {}
+        numbers = range(1, world.destinations + 1)
+        self._destinations = [Destination(number, scenario.partner.rate) for number in numbers]
+        self._entries: dict[str, api.Entry] = {}
+        for to in self._destinations:
+            for place in range(world.endpoints):
+                self._add(f"e{to.number}{'abcdefgh'[place % 8]}{place // 8 or ''}", to)
+        self._chance = np.random.Generator(np.random.PCG64(stream(seed, "messages")))
+        self._gaps = np.random.Generator(np.random.PCG64(stream(seed, "arrivals")))
+        weights = 1.0 / np.arange(1, world.destinations + 1) ** scenario.load.skew
+        self._wanted = np.cumsum(weights / weights.sum())
+        parts = np.array([scenario.load.result, scenario.load.entry, scenario.load.payment])
+        self._classes = np.cumsum(parts / parts.sum())
+        self._factor = 1.0
+        self._wishes: list[Wish] = []
+        self._requests: dict[str, Request] = {}
+        read = settings_of(scenario)
+        self.relays = [
+            Relay(self.time, read, world, seed * 1000 + number, self.endpoints, self._listed, self._told_end)
+            for number in range(world.relays)
+        ]
+
+    def _add(self, name: str, to: Destination) -> None:
+        seed = stream(self.seed, f"endpoint {name}")
+        self.endpoints[name] = Endpoint(name, to, self.scenario.partner, self.time, seed)
+        rate = self.scenario.partner.rate
+        self._entries[name] = api.Entry(name, "a", "plain", to.number, api.State.IN, rate, "127.0.0.1:1")
+
+    def _listed(self) -> list[api.Entry]:
+        return list(self._entries.values())
+
+    def run(self) -> dict[str, Any]:
+        """Play it to its end, and as long as a message may still live."""
+        world = self.scenario.world
+        for fault in self.scenario.faults:
+            self.time.after(fault.at * SECOND, self._begin, fault)
+        self._arrive_later()
+        end_us = START_US + int(world.seconds * SECOND)
+        self.time.run(end_us + int(max(it.deadline_s for it in KINDS) + 3) * SECOND)
+        return self._figures()
+
+    # Clients.
+
+    def _arrive_later(self) -> None:
+        gap = float(self._gaps.exponential(1.0)) / (self.scenario.load.per_second * self._factor)
+        if self.time.us + gap * SECOND < START_US + self.scenario.world.seconds * SECOND:
+            self.time.after(gap * SECOND, self._arrive)
+
+    def _arrive(self) -> None:
+        drawn = self._chance.random(3)
+        kind = KINDS[int(np.searchsorted(self._classes, drawn[0]))]
+        number = int(np.searchsorted(self._wanted, drawn[1])) + 1
+        wish = Wish(kind, self.time.us)
+        self._wishes.append(wish)
+        self._hand_in(f"m{len(self._wishes):07d}", wish, number, int(drawn[2] * len(self.relays)))
+        self._arrive_later()
+
+    def _hand_in(self, name: str, wish: Wish, number: int, place: int) -> None:
+        now, kind = self.time.us, wish.kind
+        until_us = wish.began_us + int(kind.deadline_s * SECOND)
+        relay = self.relays[place % len(self.relays)]
+        track = Track(name, number, kind.repeat, KEY_LIFE_S, now / SECOND, until_us / SECOND)
+        relay.checker.handed_in(track)
+        self._requests[name] = request = Request(self, relay, wish, name, number)
+        key = f"key-{name}" if kind.repeat is Repeat.KEYED else None
+        deadline_ms = START_MS + (until_us - START_US) // 1000
+        message = Message(name, kind.name, None, number, key, b"x" * 100, deadline_ms)
+        network_us = self.scenario.world.network_ms * 1000
+        self.time.after(network_us, relay.hand_in, message, until_us, request)
+
+    def answered(self, request: Request, refusal: Refusal | None) -> None:
+        """A client hears whether its message was taken on."""
+        if refusal is None:
+            request.relay.checker.taken(request.name, self.time.us / SECOND)
+            self._note("taken", request.name)
+        else:
+            self._note("refused", request.name)
+            self._again(request, refusal.retry_us / SECOND)
+
+    def _again(self, request: Request, seconds: float) -> None:
+        seconds, wish = seconds or AGAIN_S, request.wish
+        left = wish.began_us + wish.kind.deadline_s * SECOND - self.time.us - seconds * SECOND
+        if wish.tries < self.scenario.load.returns and left > 0 and wish.delivered_us is None:
+            wish.tries += 1
+            first, _, _ = request.name.partition("~")
+            again, place = f"{first}~{wish.tries}", int(first[1:]) + wish.tries
+            self.time.after(seconds * SECOND, self._hand_in, again, wish, request.number, place)
+
+    def _told_end(self, relay: Relay, end: End) -> None:
+        relay.checker.told_end(end.message, end.outcome.value, self.time.us / SECOND)
+        self._note(end.outcome.value, end.message)
+        if end.outcome.value == "handed_back" and end.message in self._requests:
+            self._again(self._requests[end.message], end.retry_ms / 1000)
+
+    def _note(self, what: str, name: str) -> None:
+        self._trace.update(f"{self.time.us} {what} {name}\n".encode())
+
+    # Faults.
+
+    def _begin(self, fault: Fault) -> None:
+        struck = [it for it in self.endpoints.values() if it.of.number <= fault.destinations]
+        if fault.what == "kill":
+            self.relays[fault.relay % len(self.relays)].kill()
+        elif fault.what == "restart":
+            self.relays[fault.relay % len(self.relays)].restart()
+        elif fault.what == "drain":
+            self._replace(struck)
+        elif fault.what == "burst":
+            self._factor *= fault.part
+            self.time.after(fault.lasts * SECOND, self._burst_over, fault.part)
+        else:
+            for it in struck:
+                it.fail(fault.what, fault.part)
+                self.time.after(fault.lasts * SECOND, it.recover)
+
+    def _burst_over(self, part: float) -> None:
+        self._factor /= part
+
+    def _replace(self, old: list[Endpoint]) -> None:
+        for it in old:
+            if it.name in self._entries:
+                entry = self._entries.pop(it.name)
+                name = f"{it.name}+"
+                self._add(name, it.of)
+                news = [
+                    replace(entry, state=api.State.DRAINING),
+                    self._entries[name],
+                ]
+                self.time.after(LIST_DELAY_S * SECOND, self._tell, it.name, news)
+
+    def _tell(self, name: str, news: list[api.Entry]) -> None:
+        for relay in self.relays:
+            relay.checker.drained(name, self.time.us / SECOND)
+            relay.tell(news)
+
+    # What came of it.
+
+    def _figures(self) -> dict[str, Any]:
+        for name, request in self._requests.items():
+            track, wish = request.relay.checker.tracks[name], request.wish
+            for began_us, over_us in request.relay.away:  # an end that was due then may come when it is back
+                if began_us <= (track.until + LATE) * SECOND <= over_us + LATE * SECOND:
+                    track.until = over_us / SECOND
+            wish.calls += len(track.calls)
+            if track.delivered is not None:
+                at_us = int(track.delivered * SECOND)
+                wish.delivered_us = min(at_us, wish.delivered_us or at_us)
+                self._trace.update(f"{at_us} delivered {name} {len(track.calls)}\n".encode())
+        broken = [line for relay in self.relays for line in relay.checker.finish(self.time.us / SECOND)]
+        broken += [f"{it.name} was pushed over" for it in self.endpoints.values() if it.fell_over]
+        done = [(it, it.delivered_us) for it in self._wishes if it.delivered_us is not None]
+        took = sorted((at_us - it.began_us) / SECOND for it, at_us in done)
+        served: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        for it in self._wishes:
+            for part in (it.kind.name, "all"):
+                served[part][0] += worth(it)
+                served[part][1] += it.kind.worth
+        calls = sum(it.calls for it in self.endpoints.values())
+        return {
+            "scenario": self.scenario.name,
+            "seed": self.seed,
+            "messages": len(self._wishes),
+            "service": round(served["all"][0] / max(1e-9, served["all"][1]), 4),
+            "service by class": {
+                it.name: round(served[it.name][0] / max(1e-9, served[it.name][1]), 4) for it in KINDS
+            },
+            "delivered": len(took),
+            "median_s": round(statistics.median(took), 4) if took else None,
+            "p99_s": round(took[int(len(took) * 0.99)], 4) if took else None,
+            "calls a message": round(calls / max(1, len(self._wishes)), 4),
+            "calls refused": sum(it.refused for it in self.endpoints.values()),
+            "MB written": round(sum(it.written for it in self.relays) / 1e6, 3),
+            "lives": sum(it.lives for it in self.relays),
+            "events": self.time.happened,
+            "broken": broken,
+            "trace": self._trace.hexdigest(),
+        }
+
+
+def worth(wish: Wish) -> float:
+    """What a wish brought: in full within its aim, then less, to its late worth at its deadline."""
+    if wish.delivered_us is None:
+        return 0.0
+    took, kind = (wish.delivered_us - wish.began_us) / SECOND, wish.kind
+    over = max(0.0, took - kind.aim_s) / (kind.deadline_s - kind.aim_s)
+    return kind.worth * (1 - (1 - kind.late_worth) * over) if over <= 1 else 0.0
--- /dev/null
+++ b/amberlug/lab/relay.py
@@ -0,0 +1,168 @@
+"""One relay of the service: the real core on a disk in memory, through its lives."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from amberlug.core.journal import Journal
+from amberlug.core.messages import End, Exchange, Message, Outcome, Reason, Refusal
+from amberlug.core.node import CLOSED_RETRY_US, Node
+from amberlug.core.ports import News
+from amberlug.lab.clock import SECOND, LifeClock, Time
+from amberlug.lab.disk import MemoryDisk
+from amberlug.lab.partners import Endpoint
+from amberlug.lab.scenario import World
+from amberlug.lab.transport import ModelTransport
+from amberlug.learning import SHARE
+from amberlug.learning.learner import Learner
+from amberlug.learning.store import Store
+from amberlug.standin.checker import Checker
+from stoatusher import interface as api
+
+DISK_SHARE = 0.9  # of the folder's room, as the daemon has it
+COLLECT_US = 3 * SECOND  # that one which closes waits for its calls
+AWAY_US = 600_000  # from the end of a process to the next one's start
+READY_US = 400_000  # and from that until it serves
+GRACE_US = 1_500_000  # after which no end is overdue any more
+LOOK_US = 20_000
+ToldEnd = Callable[[End], None]
+
+
+class ModelEnds:
+    """The platform's side: it hears each end a little later, and acknowledges it."""
+
+    def __init__(self, clock: LifeClock, network_us: int, told: ToldEnd) -> None:
+        self._clock, self._network_us, self._told = clock, network_us, told
+        self._waiting: set[str] = set()
+
+    @property
+    def waiting(self) -> bool:
+        return bool(self._waiting)
+
+    def bind(self, acknowledged: Callable[[str], None]) -> None:
+        self._acknowledged = acknowledged
+
+    def owed(self, end: End) -> bool:
+        return end.outcome is not Outcome.DELIVERED and not end.known
+
+    def tell(self, end: End) -> None:
+        if not self.owed(end) or end.message in self._waiting:
+            return
+        self._waiting.add(end.message)
+        self._clock.at(self._clock.now_us() + self._network_us, self._hear, end)
+
+    def _hear(self, end: End) -> None:
+        self._told(end)
+        self._clock.at(self._clock.now_us() + self._network_us, self._heard, end.message)
+
+    def _heard(self, name: str) -> None:
+        self._waiting.discard(name)
+        self._acknowledged(name)
+
+    def send(self) -> None:
+        """Nothing waits for others here."""
+
+
+class Relay:
+    """A relay; `up` while it takes messages."""
+
+    def __init__(
+        self,
+        time: Time,
+        settings: api.Settings,
+        world: World,
+        seed: int,
+        endpoints: Mapping[str, Endpoint],
+        listed: Callable[[], list[api.Entry]],
+        told: Callable[[Relay, End], None],
+    ) -> None:
+        self._time, self._settings, self._world, self._seed = time, settings, world, seed
+        self._endpoints, self._listed = endpoints, listed
+        self._told: ToldEnd = lambda end: told(self, end)
+        self.checker = Checker()  # of what passes on its own wires
+        self._disk = MemoryDisk(int(world.disk_mb * 1e6))
+        self._network_us = int(world.network_ms * 1000)
+        self._free_us = 0  # when its core has done what waits for it
+        self.up, self.lives, self.dials = False, 0, 0
+        self._closing_us = 0  # when its end began
+        self.away: list[tuple[int, int]] = []  # from when until when ends may come late: it was not there
+        self.start()
+
+    @property
+    def written(self) -> int:
+        """Bytes written to its disk."""
+        return self._disk.written
+
+    def start(self) -> None:
+        """Begin a life on what the disk holds."""
+        self.lives += 1
+        self._clock = clock = LifeClock(self._time)
+        room = int(self._world.disk_mb * 1e6 * DISK_SHARE)
+        journal = Journal(self._disk, room - room // SHARE, clock.wall_ms(), clock.now_us)
+        learner = Learner(Store(self._disk, room // SHARE, clock.now_us), clock)
+        idle_us = int(self._world.idle_s * SECOND)
+        self._transport = ModelTransport(
+            self._endpoints, clock, self._network_us, idle_us, self.work, self.checker
+        )
+        ends = ModelEnds(clock, self._network_us, self._told)
+        self.node = Node(self._settings, self._seed, journal, learner, self._transport, ends, clock)
+        self._learner = learner
+        self.node.listed(News(self._listed(), 1, True))
+        self.node.restore()
+        self.up = True
+
+    def work(self, job: Callable[[], None]) -> None:
+        """Do a job once the core is free; it takes what the scenario says."""
+        if not self._world.cpu_us:
+            job()
+            return
+        self._free_us = max(self._free_us, self._time.us) + int(self._world.cpu_us)
+        self._clock.at(self._free_us, job)
+
+    def hand_in(self, message: Message, deadline_us: int, exchange: Exchange) -> None:
+        """Take a request off the wire."""
+        if not self.up:
+            exchange.settle(Refusal(Reason.CLOSING, CLOSED_RETRY_US))
+            return
+        came_us = self._time.us
+
+        def read() -> None:
+            now = self._time.us
+            self.node.hand_in(message, max(0, deadline_us - now), now - came_us, exchange)
+
+        self.work(read)
+
+    def tell(self, entries: list[api.Entry]) -> None:
+        """Hear news of the list."""
+        if self.up:
+            self.node.listed(News(entries, 2, False))
+
+    def kill(self) -> None:
+        """End the process as it is, and start it again a little later."""
+        if self.up:
+            self._closing_us = self._time.us
+            self._end()
+
+    def restart(self) -> None:
+        """Have it close, as a planned restart does."""
+        if self.up:
+            self._closing_us = self._time.us
+            self.node.close()
+            self._collect(self._time.us + COLLECT_US)
+
+    def _collect(self, until_us: int) -> None:
+        if self._time.us < until_us and self.node.busy:
+            self._time.after(LOOK_US, self._collect, until_us)
+            return
+        self.node.keep()
+        self._learner.close()
+        self._end()
+
+    def _end(self) -> None:
+        self.up = False
+        self._clock.end()
+        self.dials += self._transport.dials
+        self._transport.abandon()
+        ready_us = self._time.us + AWAY_US + READY_US
+        self.away.append((self._closing_us, ready_us + GRACE_US))
+        self._time.at(ready_us, self.start)
--- /dev/null
+++ b/amberlug/lab/transport.py
@@ -0,0 +1,151 @@
+"""The core's transport over a modelled network: dials, idle connections, delays, answers, time-outs."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from amberlug.core.messages import Attempt, Ending
+from amberlug.core.ports import Address, Calls
+from amberlug.lab.clock import LifeClock, Timer
+from amberlug.lab.partners import Answer, Endpoint, Pending
+from amberlug.standin.checker import Checker
+from stoatusher.interface import Result
+
+
+@dataclass(slots=True, eq=False)
+class Out:
+    """One call that is out."""
+
+    endpoint: str
+    attempts: list[Attempt]
+    timer: Timer | None = None
+    pending: Pending | None = None
+    over: bool = False
+
+
+class ModelTransport:
+    """Calls of one life of a relay. `work` has its events wait for the relay's core."""
+
+    def __init__(
+        self,
+        endpoints: Mapping[str, Endpoint],
+        clock: LifeClock,
+        network_us: int,
+        idle_us: int,
+        work: Callable[[Callable[[], None]], None],
+        checker: Checker,
+    ) -> None:
+        self._endpoints, self._clock, self._work, self._checker = endpoints, clock, work, checker
+        self._network_us, self._idle_us = network_us, idle_us
+        self._idle: dict[str, deque[int]] = {}
+        self._out: dict[Attempt, Out] = {}
+        self.dials = 0
+
+    @property
+    def busy(self) -> bool:
+        return bool(self._out)
+
+    def bind(self, calls: Calls) -> None:
+        self._calls = calls
+
+    def call(self, endpoint: str, attempts: list[Attempt], fresh: bool) -> None:
+        out, idle, now = Out(endpoint, attempts), self._idle.get(endpoint), self._clock.now_us()
+        for attempt in attempts:
+            self._out[attempt] = out
+        while idle and idle[0] <= now - self._idle_us:
+            idle.popleft()
+        reused = bool(idle) and not fresh
+        if reused and idle:
+            idled_us = now - idle.pop()
+            for attempt in attempts:
+                attempt.idle_us = idled_us
+            self._clock.at(now + 1, self._leave, out, True)
+        else:
+            self.dials += 1
+            self._clock.at(now + 2 * self._network_us, self._leave, out, False)
+
+    def _leave(self, out: Out, reused: bool) -> None:
+        cleared = self._calls.clear(out.attempts)
+        for attempt in out.attempts:
+            if attempt not in cleared:
+                self._ended(attempt, Ending(Result.UNSENT))
+        if not cleared:
+            return
+        out.attempts = cleared
+        for attempt in cleared:
+            attempt.reused = reused
+        until_us = min(it.until_us for it in cleared)
+        out.timer = self._clock.at(until_us, self._late, out)
+        self._clock.at(self._clock.now_us() + self._network_us, self._arrive, out, reused)
+
+    def _arrive(self, out: Out, reused: bool) -> None:
+        if out.over:
+            return
+        endpoint = self._endpoints[out.endpoint]
+        names = [it.message.name for it in out.attempts]
+
+        def answered(answer: Answer) -> None:
+            at_us = self._clock.now_us() + self._network_us
+            self._clock.at(at_us, self._work, lambda: self._answer(out, answer))
+
+        out.pending = endpoint.arrive(self._checker, names, reused, answered)
+        if out.pending is None:
+            answered(Answer(Result.UNCONNECTED))
+
+    def _answer(self, out: Out, answer: Answer) -> None:
+        if out.over or answer.result is None:
+            return
+        if answer.result is not Result.RESET and answer.result is not Result.UNCONNECTED:
+            self._idle.setdefault(out.endpoint, deque()).append(self._clock.now_us())
+        self._finish(out, Ending(answer.result, answer.wait_us))
+
+    def _late(self, out: Out) -> None:
+        if not out.over:
+            self._give_up(out, Ending(Result.TIMED_OUT))
+
+    def _give_up(self, out: Out, how: Ending) -> None:
+        if out.pending is not None:
+            self._endpoints[out.endpoint].hang_up(out.pending)
+        self._finish(out, how)
+
+    def _finish(self, out: Out, how: Ending) -> None:
+        out.over = True
+        if out.timer is not None:
+            out.timer.cancel()
+        for attempt in out.attempts:
+            self._ended(attempt, how)
+
+    def _ended(self, attempt: Attempt, how: Ending) -> None:
+        if not attempt.ended:
+            attempt.ended = True
+            del self._out[attempt]
+            self._calls.ended(attempt, how)
+
+    def call_off(self, attempt: Attempt) -> None:
+        attempt.called_off = True
+        if (out := self._out.get(attempt)) is not None and all(it.called_off for it in out.attempts):
+            self._give_up(out, Ending(Result.CALLED_OFF))
+
+    def abandon(self) -> None:
+        """The process is gone: its connections end, and nobody hears of it."""
+        for out in set(self._out.values()):
+            out.over = True
+            if out.pending is not None:
+                self._endpoints[out.endpoint].hang_up(out.pending)
+
+    def probe(self, endpoint: str, ended: Callable[[Ending], None]) -> None:
+        state = self._endpoints[endpoint].state
+        well = state in ("well", "slow") and not self._endpoints[endpoint].fell_over
+        self._clock.at(
+            self._clock.now_us() + 2 * self._network_us, ended, Ending(Result.DONE if well else Result.RESET)
+        )
+
+    def locate(self, endpoint: str, address: Address | None, kind: str = "") -> None:
+        if address is None:
+            self.close_idle(endpoint)
+
+    def close_idle(self, endpoint: str) -> None:
+        self._idle.pop(endpoint, None)
+
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,109 @@
+"""The lab: the same seed gives the same trace, rules are judged from outside, what is planted is found."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from amberlug.cli.labs import LIBRARY
+from amberlug.cli.main import main
+from amberlug.lab.play import Play
+from amberlug.lab.scenario import BadScenarioError, Load, Scenario, read, scenario_of
+from amberlug.learning.learner import Learner
+from stoatusher.lasting import LastingSender
+from tests.rig import ROOT
+
+
+def library(name: str, seconds: float = 15.0, **world: Any) -> Scenario:
+    scenario = read(LIBRARY / f"{name}.toml")
+    return replace(scenario, world=replace(scenario.world, seconds=seconds, **world))
+
+
+@pytest.mark.parametrize("name", sorted(path.stem for path in LIBRARY.glob("*.toml")))
+def test_the_librarys_scenarios_break_no_rule(name: str) -> None:
+    figures = Play(library(name), 3).run()
+    assert figures["broken"] == []
+    assert figures["service"] > 0.85
+
+
+def test_the_same_seed_gives_the_same_trace_whatever_the_hashes() -> None:
+    code = (
+        "from amberlug.cli.labs import LIBRARY\nfrom amberlug.lab.play import Play\n"
+        "from amberlug.lab.scenario import read\n"
+        "print(Play(read(LIBRARY / 'limits-and-kills.toml'), 5).run()['trace'])"
+    )
+    traces = set()
+    for seed in ("0", "1"):
+        environ = os.environ | {"PYTHONHASHSEED": seed}
+        run = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, env=environ, capture_output=True, text=True, check=True
+        )
+        traces.add(run.stdout)
+    assert len(traces) == 1
+    assert Play(library("limits-and-kills"), 6).run()["trace"] not in traces
+
+
+def test_a_change_in_the_world_shifts_no_arrival() -> None:
+    """Common random numbers: what clients want is the same, however they are served."""
+    plays = [Play(library("calm", 8.0, slots=slots), 4) for slots in (2, 32)]
+    services = [play.run()["service"] for play in plays]
+    wishes = [[(it.began_us, it.kind.name) for it in play._wishes] for play in plays]
+    assert wishes[0] == wishes[1]
+    assert services[0] < services[1]
+
+
+def test_a_core_that_is_too_slow_shows() -> None:
+    scenario = replace(library("calm", 8.0), load=Load(per_second=120))
+    slow = replace(scenario, world=replace(scenario.world, cpu_us=15_000))
+    assert Play(slow, 1).run()["service"] < 0.7 < Play(scenario, 1).run()["service"]
+
+
+def test_waits_that_are_forgotten_over_a_kill_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Learner, "told", lambda self, wait: None)
+    plays = [Play(library("limits-and-kills", 24.0), seed).run() for seed in range(4)]
+    broken = [line for figures in plays for line in figures["broken"]]
+    assert any("told wait" in line for line in broken)
+
+
+def test_a_send_into_a_drain_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(LastingSender, "unlist", lambda self, news: {})
+    broken = Play(library("drains"), 3).run()["broken"]
+    assert any("drain" in line for line in broken)
+
+
+def test_all_that_is_wrong_with_a_scenario_is_told_with_its_place() -> None:
+    data = {
+        "world": {"seconds": -1, "relays": 1.5, "colour": 3},
+        "load": 7,
+        "weather": {},
+        "fault": [{"what": "down"}, {"what": "rain", "at": "noon"}, 5],
+    }
+    with pytest.raises(BadScenarioError) as error:
+        scenario_of("bad", data)
+    places = [problem.partition(":")[0] for problem in error.value.problems]
+    assert places == [
+        "weather", "world.seconds", "world.relays", "world.colour", "load", "fault[1].at", "fault[2]",
+        "fault[1].what", "fault[2].what",
+    ]  # fmt: skip
+
+
+def test_runs_are_kept_and_never_played_twice(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    scenario, store = tmp_path / "short.toml", tmp_path / "runs.db"
+    scenario.write_text("[world]\nseconds = 2\n")
+    call = ["lab", "run", str(scenario), "--seeds", "3", "--jobs", "2", "--store", str(store)]
+    assert main(call) == 0
+    first = capsys.readouterr().out
+    assert "| short | 3 |" in first
+    size = store.stat().st_mtime_ns
+    assert main(call) == 0
+    assert capsys.readouterr().out == first
+    assert store.stat().st_mtime_ns == size
+    scenario.write_text("[world]\nseconds = 2\nhours = 3\n")
+    assert main(call) == 2
+    assert "world.hours: no such setting" in capsys.readouterr().err
