--- a/amberlug/cli/learnings.py
+++ b/amberlug/cli/learnings.py
@@ -151,6 +151,10 @@
                 "since_s": _age(known.since_us, now_us), "failed_s": _age(known.failed_us, now_us),
                 "delivered_s": _age(known.done_us, now_us),
                 "weight": round(ageing.weight(gap_us, ageing.FAILURES_US), 3),
+                "resets_by_idle_ms": {
+                    f"< {1 << at}": f"{resets:.1f} of {used:.1f}"
+                    for at, (used, resets) in sorted(kept.idle.get(known.entry.endpoint, {}).items())
+                },
             })  # fmt: skip
     week = Now().wall_ms() // 3_600_000 // facts.WEEK_HOURS
     hours = {hour: round(ageing.hour_weight(was, week), 2) for hour, was in sorted(kept.hours.items())}
@@ -216,6 +220,8 @@
             print(f"  {one['endpoint']} ({one['kind']}, {one['zone']}): {one['state']}, failure rate "
                   f"{one['failure_rate']} (learned {one['learned_failure_rate']}, weighs {one['weight']}); "
                   f"{ages or 'never called'}")  # fmt: skip
+            if resets := ", ".join(f"{ms}: {count}" for ms, count in one["resets_by_idle_ms"].items()):
+                print(f"    resets on connections that idled (ms): {resets}")
     for it in found.get("usual", ()):
         told = f"answers in {it['answer_s']} s, failure rate {it['failure_rate']}"
         told = told if it["of"] == "kind" else f"{it['per_second']} messages a second"
--- a/amberlug/core/messages.py
+++ b/amberlug/core/messages.py
@@ -76,6 +76,7 @@
     called_off: bool = False
     ended: bool = False
     reused: bool = False  # it leaves on a connection that has carried another call
+    idle_us: int = 0  # which had idled for so long
 
 
 @dataclass(frozen=True, slots=True)
--- a/amberlug/core/node.py
+++ b/amberlug/core/node.py
@@ -247,6 +247,9 @@
         delivered = how.result is Result.DONE or how.over
         if how.result is Result.DONE:
             self._learning.answered(message.destination, now - attempt.start_us)
+        if attempt.reused:
+            reset = how.result is Result.RESET
+            self._learning.reused(message.destination, attempt.endpoint, attempt.idle_us, reset)
         if self._observer is not None:
             self._observer.outcome(attempt, how)
         if message.ref in self._messages:
--- a/amberlug/core/ports.py
+++ b/amberlug/core/ports.py
@@ -208,6 +208,9 @@
     def answered(self, destination: int, took_us: int) -> None:
         """Count an answer time, which is kept with what is next observed there."""
 
+    def reused(self, destination: int, endpoint: str, idle_us: int, reset: bool) -> None:
+        """Count a call on a connection that had idled for so long, and whether it was reset."""
+
     def sent(self, tenant: str | None) -> None:
         """Count a message that a tenant handed in."""
 
--- a/amberlug/http/calls.py
+++ b/amberlug/http/calls.py
@@ -117,6 +117,7 @@
             link = idle[-1]
             self._forget(link)
             if link.usable:
+                link.idled_us = int((asyncio.get_running_loop().time() - link.idle_since) * 1e6)
                 return link
             link.close()
         address = self._addresses.get(endpoint)
@@ -145,7 +146,7 @@
         if not link.usable or self._addresses.get(endpoint) != link.where:
             link.close()
             return
-        link.reused = True
+        link.reused, link.idle_since = True, asyncio.get_running_loop().time()
         self._idle.setdefault(endpoint, []).append(link)
         timer = asyncio.get_running_loop().call_later(self._life, self._retire, link)
         self._timers[link] = endpoint, timer
@@ -260,7 +261,7 @@
         cleared = await departing(self._calls, attempts)
         self._end_all([attempt for attempt in attempts if attempt not in cleared], Ending(Result.UNSENT))
         for attempt in cleared:
-            attempt.reused = link.reused
+            attempt.reused, attempt.idle_us = link.reused, link.idled_us
         if cleared:
             await self._converse(link, cleared)
 
--- a/amberlug/http/link.py
+++ b/amberlug/http/link.py
@@ -42,6 +42,7 @@
     def __init__(self, where: tuple[str, int]) -> None:
         self.where = where
         self.reused = False  # whether it has carried a request before
+        self.idle_since, self.idled_us = 0.0, 0  # loop's clock; and for how long it idled before its last use
         self._http = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
         self._reply: Reply | None = None
--- a/amberlug/learning/facts.py
+++ b/amberlug/learning/facts.py
@@ -25,6 +25,7 @@
 AHEAD_US = 1_000_000  # that a record may be ahead of the stamp it is read by
 GROWTH = 1.15  # from one bin of answer times to the next: a quantile is 7% off at most
 BINS = 256
+IDLE_BINS = 24
 WEEK_HOURS = 168
 _REAL = (int, float)
 _OUT_OF_BOUNDS = "a figure out of its bounds"
@@ -39,6 +40,8 @@
     answers: dict[int, float] = field(default_factory=dict)  # weight of each bin of answer times
     # For each hour of the week in which it was awake: the last week in which it was, and how usual that is.
     hours: dict[int, tuple[int, float]] = field(default_factory=dict)
+    # Of each endpoint: calls on connections by how long these had idled, and those of them that were reset.
+    idle: dict[str, dict[int, tuple[float, float]]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -56,6 +59,11 @@
     return min(BINS - 1, int(math.log(max(1, took_us)) / math.log(GROWTH)))
 
 
+def idle_bin(idle_us: int) -> int:
+    """The bin of an idle age: from one to the next it doubles, from 1 ms on."""
+    return min(IDLE_BINS - 1, max(0, idle_us // 1000).bit_length())
+
+
 def quantile(answers: dict[int, float], part: float) -> float:
     """The answer time (microseconds) that this part of the weight stays below; 0 without any."""
     left = sum(answers.values()) * part
@@ -91,13 +99,15 @@
         for it in known.endpoints
     ]  # fmt: skip
     return bytes(
-        msgpack.packb([known.destination, kept.seen_us, routes, endpoints, kept.answers, kept.hours])
+        msgpack.packb(
+            [known.destination, kept.seen_us, routes, endpoints, kept.answers, kept.hours, kept.idle]
+        )
     )
 
 
 def unpack(record: bytes, latest_us: int) -> Kept:
     """Read a destination's record, no time of which is later than that; `ValueError` where it is bad."""
-    number, seen_us, routes, endpoints, answers, hours = _sound(record, latest_us + AHEAD_US)
+    number, seen_us, routes, endpoints, answers, hours, idle = _sound(record, latest_us + AHEAD_US)
     known = api.Known(
         number,
         tuple([
@@ -113,7 +123,8 @@
             in endpoints
         ]),
     )  # fmt: skip
-    return Kept(known, seen_us, answers, {hour: (was[0], was[1]) for hour, was in hours.items()})
+    idled = {name: {at: (it[0], it[1]) for at, it in bins.items()} for name, bins in idle.items()}
+    return Kept(known, seen_us, answers, {hour: (was[0], was[1]) for hour, was in hours.items()}, idled)
 
 
 def _sound(record: bytes, latest_us: int) -> list[Any]:
@@ -123,7 +134,7 @@
     """
     try:
         fields: list[Any] = _load(record)
-        number, seen_us, routes, endpoints, answers, hours = fields
+        number, seen_us, routes, endpoints, answers, hours, idle = fields
         sound = type(number) is int and type(seen_us) is int and NEVER <= seen_us <= latest_us
         sound = sound and type(routes) is list and type(endpoints) is list
         sound = sound and len(routes) <= MANY and len(endpoints) <= MANY
@@ -161,6 +172,11 @@
         for hour, (week, weight) in hours.items():
             sound = sound and type(hour) is int and 0 <= hour < WEEK_HOURS and type(week) is int
             sound = sound and 0 <= week <= 1 << 20 and type(weight) in _REAL and 0 <= weight <= 1
+        for name, bins in idle.items():
+            sound = sound and type(name) is str and 0 < len(name) <= NAME_MOST
+            for at, (used, reset) in bins.items():
+                sound = sound and type(at) is int and 0 <= at < IDLE_BINS
+                sound = sound and type(used) in _REAL and type(reset) in _REAL and 0 <= reset <= used <= 1e12
     except (TypeError, ValueError, AttributeError, msgpack.UnpackException) as error:
         raise ValueError(f"malformed record: {error}") from None
     if not sound:
--- a/amberlug/learning/learner.py
+++ b/amberlug/learning/learner.py
@@ -24,6 +24,7 @@
 TOLD_US = 600_000_000  # for so long beyond its end a told wait is known: another one may be as long
 PAUSE_MOST_MS = 400 * 24 * HOUR_MS  # longest pause that a wall's clock is believed to tell
 ANSWERS_MOST = 256  # answer times that wait to be counted, for each destination
+IDLE_MOST = 64  # calls of one idle age that are counted in full: more halve those before
 KIND_WEIGHT = 0.02  # weight of one destination's newest answer times in what is usual of its kind
 TENANT_US = 10 * 60_000_000  # the rate of a tenant is that of about so long
 FORGETS = 4  # records that each keeping looks at, to forget those that are old
@@ -35,6 +36,7 @@
     def __init__(self, store: Store, clock: Clock) -> None:
         self._store, self._clock = store, clock
         self._answers: dict[int, list[int]] = defaultdict(list)
+        self._reused: dict[int, list[tuple[str, int, bool]]] = defaultdict(list)
         self._sent: dict[str, int] = defaultdict(int)
         self._sent_us = clock.now_us()
         self.refused = store.refused
@@ -158,6 +160,7 @@
         if fade < 0.99 or sum(kept.answers.values()) > ANSWERS_MOST:
             part = min(fade, 0.5 if sum(kept.answers.values()) > ANSWERS_MOST else 1.0)
             kept.answers = {at: w * part for at, w in kept.answers.items() if w * part >= ageing.LEAST}
+        self._count_idle(kept, fade)
         hour, week = now.wall_ms // HOUR_MS % facts.WEEK_HOURS, now.wall_ms // HOUR_MS // facts.WEEK_HOURS
         was = kept.hours.get(hour)
         if week >= 0 and (was is None or was[0] != week):
@@ -165,6 +168,22 @@
             kept.hours[hour] = week, usual + (1 - usual) * 0.5
         return key, facts.pack(kept)
 
+    def _count_idle(self, kept: Kept, fade: float) -> None:
+        """Count calls on connections that had idled; what is counted gives way to what is new."""
+        names = {it.entry.endpoint for it in kept.known.endpoints}
+        kept.idle = {name: bins for name, bins in kept.idle.items() if name in names}
+        for name, idle_us, reset in self._reused.pop(kept.known.destination, ()):
+            if name in names:
+                bins = kept.idle.setdefault(name, {})
+                at = facts.idle_bin(idle_us)
+                used, resets = bins.get(at, (0.0, 0.0))
+                part = 0.5 if used >= IDLE_MOST else 1.0
+                bins[at] = used * part + 1.0, resets * part + reset
+        if fade < 0.99:
+            for name, bins in kept.idle.items():
+                faded = {at: (used * fade, resets * fade) for at, (used, resets) in bins.items()}
+                kept.idle[name] = {at: it for at, it in faded.items() if it[0] >= ageing.LEAST}
+
     def _kinds(self, known: Sequence[api.Known], now: Stamp) -> list[tuple[bytes, bytes]]:
         """Learn what is usual of kinds, a little from each destination that was heard of."""
         changed: dict[str, Usual] = {}
@@ -212,6 +231,11 @@
         if len(waiting) < ANSWERS_MOST:
             waiting.append(took_us)
 
+    def reused(self, destination: int, endpoint: str, idle_us: int, reset: bool) -> None:
+        waiting = self._reused[destination]
+        if len(waiting) < ANSWERS_MOST:
+            waiting.append((endpoint, idle_us, reset))
+
     def sent(self, tenant: str | None) -> None:
         if tenant is not None:
             self._sent[tenant] += 1
--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -183,6 +183,26 @@
     return math.sqrt(statistics.fmean((believed(was, prior) - true) ** 2 for was, prior, true in drawn))
 
 
+def plot(file: Path) -> None:
+    """Draw the error of each fact over the half-life, one line for each pause."""
+    import matplotlib
+
+    matplotlib.use("agg")
+    matplotlib.rcParams["svg.hashsalt"] = "amberlug"
+    from matplotlib import pyplot
+
+    figure, parts = pyplot.subplots(2, 2, figsize=(9, 6), layout="constrained")
+    halves = sorted(HALVES)
+    for part, (name, (world, chosen_us)) in zip(parts.flat, WORLDS.items(), strict=True):
+        for pause, seconds in PAUSES.items():
+            part.plot(halves, [error(world, seconds, it * SECOND) for it in halves], label=f"after {pause}")
+        part.axvline(chosen_us / SECOND, color="grey", linestyle="--")
+        part.set(title=name, xscale="log", xlabel="half-life, s", ylabel="error (root mean square)")
+        part.set_ylim(0, None)
+    parts.flat[0].legend()
+    figure.savefig(file, metadata={"Date": None} if file.suffix == ".svg" else None)
+
+
 def name_of(seconds: float) -> str:
     for unit, size in (("d", 86400), ("h", 3600), ("min", 60)):
         if seconds >= size:
@@ -194,7 +214,10 @@
     """Print both tables."""
     options = argparse.ArgumentParser(description=__doc__)
     options.add_argument("--only", choices=["cost", "prediction"])
+    options.add_argument("--plot", type=Path, help="draw the errors there (needs the extra `plots`)")
     told = options.parse_args()
+    if told.plot is not None:
+        plot(told.plot)
     if told.only != "prediction":
         rows = [cost(100, 30), cost(5_000, 100), cost(50_000, 100), cost(50_000, 2_000)]
         print("| " + " | ".join(rows[0]) + " |\n" + "| ---: " * len(rows[0]) + "|")
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -279,6 +279,7 @@
         (altered(2, 4, math.inf), "bounds"),
         (altered(2, 1, -1), "bounds"),
         (altered(0, 0, 2), "key"),
+        (altered(6, 6, {"e1": {3: [1.0, 2.0]}}), "bounds"),  # more resets than calls
         (b"\xc1", "malformed"),
         (b"\x93\x01\x02\x03", "unpack"),
     ],
@@ -502,12 +503,15 @@
         for took_us in (100_000, 100_000, 100_000, 2_000_000):
             learner.answered(1, took_us)
             learner.sent("club")
+            learner.reused(1, "e1", 300_000, reset=took_us > SECOND)
+            learner.reused(1, "gone", 5, reset=True)
         time.past(60 * SECOND)
         learner.observe([known(time.us)])
         assert minute >= 0
     kept = facts.unpack(learner._store.records[ONE], time.us)
     assert facts.quantile(kept.answers, 0.5) == pytest.approx(100_000, rel=0.08)
     assert facts.quantile(kept.answers, 0.95) == pytest.approx(2_000_000, rel=0.08)
+    assert kept.idle == {"e1": {facts.idle_bin(300_000): (20.0, 5.0)}}
     assert set(kept.hours) == {time.wall // 3_600_000 % 168}
     tenant = facts.unpack_usual(learner._store.records[facts.TENANT + b"club"], time.us)
     assert 0 < tenant.rate < 4 / 60
