Write no fact that the next start would refuse all others for

Cause: a start refuses a whole generation for one figure out of its bounds, and the owner wrote what it was told: an endpoint with an endless name, or answers that take over an hour, would have cost every partner's facts.

Change: what does not pass the check of a start is left out as it is written; answer times are bounded.

--- a/amberlug/learning/facts.py
+++ b/amberlug/learning/facts.py
@@ -18,7 +18,7 @@
 from stoatusher.state import NEVER
 
 DESTINATION, WAIT, KIND, TENANT = b"D", b"W", b"K", b"T"
-NAME_MOST = 256  # characters of an endpoint's, kind's or zone's name
+NAME_MOST = 1024  # characters of an endpoint's, kind's or zone's name
 MANY = 4096  # endpoints or routes of one destination
 RATE_MOST = 1e9  # calls a second, or in a window
 WAIT_MOST_US = 3_600_000_000
@@ -88,9 +88,12 @@
     """A destination's record."""
     known = kept.known
     routes = [
-        [it.route, it.usual_us, it.pace, it.pace_us, it.learned if it.learned < OPEN else None, it.learned_us]
+        [
+            it.route, min(it.usual_us, WAIT_MOST_US), it.pace, it.pace_us,
+            it.learned if it.learned < OPEN else None, it.learned_us,
+        ]
         for it in known.routes
-    ]
+    ]  # fmt: skip
     endpoints = [
         [
             it.entry.endpoint, it.entry.kind, it.entry.zone, it.entry.up_since_ms, it.cold, it.since_us,
--- a/amberlug/learning/learner.py
+++ b/amberlug/learning/learner.py
@@ -100,7 +100,7 @@
             until_us = now.clock_us + wait.left_us(now.clock_us, now.boot)
             kept_wait = replace(wait, until_us=until_us, boot=now.boot)
             records.append((facts.wait_key(wait), facts.pack_wait(kept_wait)))
-        self._store.put(records, now)
+        self._put(records, now)
 
     # What the core asks and tells.
 
@@ -146,7 +146,18 @@
         records += self._kinds(known, now)
         records += self._tenants(now)
         records += self._old(now.clock_us)
-        self._store.put(records, now)
+        self._put(records, now)
+
+    def _put(self, records: Sequence[tuple[bytes, bytes]], now: Stamp) -> None:
+        """Keep records, but none that the next start would not believe: it would refuse all for that one."""
+        sound = []
+        for record in records:
+            try:
+                facts.check([record] if record[1] else [], now.clock_us)
+            except ValueError:  # an endless name, say: there is no other way to tell this partner's facts
+                continue
+            sound.append(record)
+        self._store.put(sound, now)
 
     def _learn(self, known: api.Known, now: Stamp) -> tuple[bytes, bytes]:
         key = facts.destination_key(known.destination)
@@ -247,7 +258,7 @@
             known = facts.unpack_wait(record, now.clock_us + facts.WAIT_MOST_US)
             if known.left_us(now.clock_us, wait.boot) >= wait.length_us:
                 return  # it waits for longer already
-        self._store.put([(key, facts.pack_wait(wait))], now)
+        self._put([(key, facts.pack_wait(wait))], now)
 
     # For operators.
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -5,7 +5,10 @@
 import contextlib
 import errno
 import itertools
+import json
+import math
 import random
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -17,6 +20,7 @@
 from amberlug.core.journal import FolderDisk, Journal, room
 from amberlug.core.journal import records as rec
 from amberlug.core.messages import Attempt, End, Ending, Message, Outcome
+from amberlug.core.ports import Earlier, Seen, Wait
 from stoatusher.interface import Result
 from tests.faulty import DiedError, FaultyDisk
 
@@ -167,6 +171,17 @@
     world.work()
 
 
+def test_what_earlier_releases_kept_of_partners_is_still_read() -> None:
+    disk = FaultyDisk()
+    journal = opened(disk)
+    row = ("e", True, 1, 2, 3, None, 0.5, False, math.inf, 4)
+    journal._append(rec.MEMORY, "", json.dumps({"wall": NOW, "clock": 1, "seen": [row]}).encode())
+    journal._append(rec.WAIT, "", struct.pack(">qQQ", 7, 900, 1000) + b"boot\0e")
+    found = opened(disk.after_death())
+    assert found.earlier == Earlier(NOW, 1, (Seen(*row),), (Wait(7, "e", 900, 1000, "boot"),))
+    assert found.damage == []
+
+
 @pytest.fixture
 def tight(monkeypatch: pytest.MonkeyPatch) -> None:
     """Segments of a few records, compacted early."""
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -323,6 +323,17 @@
     assert not opened(FaultyDisk({blocks.file_name(3): files[blocks.file_name(3)]}), time)._store.records
 
 
+def test_what_can_not_be_believed_later_is_not_written_for_all_to_be_refused() -> None:
+    time, disk = Time(), FaultyDisk()
+    learner = opened(disk, time)
+    learner.observe([known(time.us, 2, of=entry("e" * 5000, 2)), known(time.us, route={"usual_us": 10**11})])
+    learner.told(Wait(3, "e" * 5000, SECOND, time.us + SECOND, time.boot))
+    again = opened(disk.after_death(), time)
+    assert again.refused == []
+    assert believed(again).endpoints
+    assert not believed(again, entry("e" * 5000, 2)).endpoints
+
+
 def test_only_the_key_that_wrote_a_folder_reads_it() -> None:
     time, disk = Time(), FaultyDisk()
     opened(disk, time, key=b"k" * 32).observe([known(time.us)])
