--- a/amberlug/lab/relay.py
+++ b/amberlug/lab/relay.py
@@ -14,6 +14,7 @@
 from amberlug.lab.scenario import World
 from amberlug.lab.transport import ModelTransport
 from amberlug.learning import SHARE
+from amberlug.learning.blocks import number_of
 from amberlug.learning.learner import Learner
 from amberlug.learning.store import Store
 from amberlug.standin.checker import Checker
@@ -98,6 +99,9 @@
         self.lives += 1
         self._clock = clock = LifeClock(self._time)
         room = int(self._world.disk_mb * 1e6 * DISK_SHARE)
+        if not self._world.remembers:
+            for name in [name for name in self._disk.files() if number_of(name) is not None]:
+                self._disk.remove(name)
         journal = Journal(self._disk, room - room // SHARE, clock.wall_ms(), clock.now_us)
         learner = Learner(Store(self._disk, room // SHARE, clock.now_us), clock)
         idle_us = int(self._world.idle_s * SECOND)
--- a/amberlug/lab/scenario.py
+++ b/amberlug/lab/scenario.py
@@ -31,6 +31,7 @@
     idle_s: float = 5.0  # that a connection idles until its endpoint closes it
     cpu_us: float = 0.0  # of a relay's core for a hand-in, and as much for the end of a call
     disk_mb: float = 3.0
+    remembers: int = 1  # 0: what a relay has learned is lost with its process
 
 
 @dataclass(frozen=True, slots=True)
--- a/amberlug/learning/learner.py
+++ b/amberlug/learning/learner.py
@@ -143,6 +143,9 @@
             return
         now = self._stamp()
         records = [self._learn(it, now) for it in known]
+        if len(self._answers) + len(self._reused) > facts.MANY:  # of destinations that are gone by now
+            self._answers.clear()
+            self._reused.clear()
         records += self._kinds(known, now)
         records += self._tenants(now)
         records += self._old(now.clock_us)
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -36,6 +36,7 @@
 
     resumed: api.Resumed | None = None
     closing = False
+    waking = False  # whether a destination is being made from the list
     usual_worth = 0.0  # of late messages
     stale_rate = 0.0  # part of late calls on used connections that were reset
     reused = False  # whether the outcome that is being taken in came on a connection used before
@@ -83,7 +84,9 @@
     def awaken(self, number: int) -> Destination:
         """The record of a destination; where nothing is kept of it, with what is believed from before."""
         asleep = number not in self.destinations and number not in self.folded
+        self.waking = True
         to = super().awaken(number)
+        self.waking = False
         if asleep and self.recall is not None:
             told = self.recall(number, tuple(it.entry for it in to.endpoints.values()))
             if told is not None:
@@ -91,11 +94,20 @@
         return to
 
     def enlist(self, to: Destination, entry: api.Entry) -> None:
+        """Go on with an endpoint; one that comes to a destination in use is asked for by itself."""
+        came = entry.endpoint not in self.endpoints and not self.waking
         super().enlist(to, entry)
-        if entry.endpoint in to.awaited and self.recall is not None:  # listed only after its first message
+        told = self.recall(to.number, (entry,)) if came and self.recall is not None else None
+        if told is None:
+            return
+        # Guards against a wait that was told by a route which was not listed for a while.
+        for route in told.routes:
+            if (account := to.accounts.get(route.route)) is not None:
+                account.blocked_until = max(account.blocked_until, route.blocked_until_us)
+        if entry.endpoint in to.awaited:  # listed only after the destination's first message
             to.awaited.discard(entry.endpoint)
-            if (told := self.recall(to.number, (entry,))) is not None:
-                folding.believe(to, replace(told, routes=()), self.settings)
+            own = tuple(it for it in told.routes if it.route == entry.endpoint)
+            folding.believe(to, replace(told, routes=own), self.settings)
 
     def learned(self, most: int, turns: bool = False) -> list[api.Known]:
         """What was learned and is not kept yet, of so many destinations, or only where it would be missed."""
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -688,3 +688,29 @@
     sender.step(life.time.us, [api.Listed(api.ListKind.PATCH, (life.listed,))])
     assert sender.endpoints["e1"].cold
     assert not sender.endpoints["e9"].cold
+
+
+@pytest.mark.parametrize("restarts", [True, False])
+def test_a_route_that_was_not_listed_for_a_while_is_still_waited_for(restarts: bool) -> None:
+    time, disk = Time(), FaultyDisk()
+    learner, settings = opened(disk, time), read_settings(setup(Weights="nominal"))
+    first, other = (entry(name, kind="apart") for name in ("c1", "c2"))
+    sender = LastingSender(settings, 7, learner.recall)
+    sender.step(time.us, [api.Listed(api.ListKind.WHOLE, (first, other))])
+    sender.step(time.us, [api.Taken(1, 1, "safe", None, None, 9 * SECOND)])
+    name = next(it for it in sender.endpoints if sender.endpoints[it].out)
+    route = sender.route(name)
+    assert route == name
+    learner.told(Wait(1, route, 5 * SECOND, time.us + 5 * SECOND, time.boot))
+    told = api.Outcome(1, 0, name, Result.REFUSED, False, 1, 5 * SECOND, ())
+    sender.step(time.us, [told, api.Withdrawn(1)])
+    gone, left = (first, other) if name == "c1" else (other, first)
+    if restarts:
+        sender = LastingSender(settings, 8, opened(disk.after_death(), time).recall)
+        sender.step(time.us, [api.Listed(api.ListKind.WHOLE, (left,))])
+    else:
+        sender.step(time.us, [api.Listed(api.ListKind.PATCH, (replace(gone, state=State.GONE),))])
+    sender.step(time.us, [api.Taken(2, 1, "safe", None, None, 9 * SECOND)])
+    sender.step(time.us, [api.Listed(api.ListKind.PATCH, (gone,))])
+    assert sender.endpoints[name].account.blocked_until == time.us + 5 * SECOND
+    assert not sender.may_start(time.us + SECOND, 2, name)
