--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -4,6 +4,7 @@
 import graphlib
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parents[1]
@@ -65,3 +66,9 @@
             for alias in node.names
         }
         assert not names & {"socket", "h11", "selectors", "ssl"}, path
+
+
+def test_what_run_installs_is_all_that_the_package_needs() -> None:
+    """Guards against a daemon that starts only where the tests' own packages are."""
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))["project"]
+    assert (ROOT / "requirements.txt").read_text(encoding="utf-8").split() == project["dependencies"]
