--- a/amberlug/lab/relay.py
+++ b/amberlug/lab/relay.py
@@ -84,7 +84,7 @@
         self._disk = MemoryDisk(int(world.disk_mb * 1e6))
         self._network_us = int(world.network_ms * 1000)
         self._free_us = 0  # when its core has done what waits for it
-        self.up, self.lives, self.dials = False, 0, 0
+        self.up, self.lives = False, 0
         self._closing_us = 0  # when its end began
         self.away: list[tuple[int, int]] = []  # from when until when ends may come late: it was not there
         self.start()
@@ -165,7 +165,6 @@
     def _end(self) -> None:
         self.up = False
         self._clock.end()
-        self.dials += self._transport.dials
         self._transport.abandon()
         ready_us = self._time.us + AWAY_US + READY_US
         self.away.append((self._closing_us, ready_us + GRACE_US))
--- a/amberlug/lab/transport.py
+++ b/amberlug/lab/transport.py
@@ -41,7 +41,6 @@
         self._network_us, self._idle_us = network_us, idle_us
         self._idle: dict[str, deque[int]] = {}
         self._out: dict[Attempt, Out] = {}
-        self.dials = 0
 
     @property
     def busy(self) -> bool:
@@ -63,7 +62,6 @@
                 attempt.idle_us = idled_us
             self._clock.at(now + 1, self._leave, out, True)
         else:
-            self.dials += 1
             self._clock.at(now + 2 * self._network_us, self._leave, out, False)
 
     def _leave(self, out: Out, reused: bool) -> None:
