Close what idles at once where a table of its kind was met full

A relay that held one never dialled, so only those without learned that the table was full; their pause then grew to 2 s, beyond a result's aim (964 results given up without an attempt). A call on a new connection holds its place for 0.15 to 0.2 s: with nothing idle the calls need 3 to 10 places.

Change: the first full table of a kind closes what idles at that kind, which from then on is kept for 0 s, 2 ms more for each new connection that is served; other kinds keep theirs and grow by half. The pause after a full table is half a second at most.

--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -28,10 +28,10 @@
 LONGEST = 3  # longest window of the cold bound, in OverloadForUs: it trades caution for messages' lives
 SPREAD = 0.7, 1.3  # drawn part of that window: relays that fail together must not come back together
 TABLE_PAUSE_US = SECOND // 10  # first pause after a full table, doubled with each in a row
-TABLE_PAUSE_MOST_US = 2 * SECOND
+TABLE_PAUSE_MOST_US = SECOND // 2
 UNMET = 5  # full tables in a row, with nothing answered between, that look like an outage
-KEEP_LESS, KEEP_MORE = 0.3, 1.5  # what a full table, and a new connection that was had, make of a keeping
-LEAST_KEEP_US = SECOND // 20
+KEEP_MORE = 1.5  # growth of a keeping with each new connection that is served, until a full table is met
+KEEP_STEP_US = SECOND // 500  # the same after that: an idle connection is worth less than a place for a call
 FEW = 4  # calls out at once to an endpoint that has delivered nothing lately; more may all be lost at once
 LATELY_US = 60 * SECOND
 FRESH_SHARE = 0.9  # part of the slots that calls to such endpoints may take: the rest is for what delivers
@@ -263,11 +263,18 @@
         if not (refused or result is Result.UNCONNECTED):
             endpoint.unmet = 0
             if not self.reused and result is Result.DONE:
-                kept_us = max(LEAST_KEEP_US, int(endpoint.keep_us * KEEP_MORE))
+                small = endpoint.entry.kind in self.small_tables
+                kept_us = endpoint.keep_us + KEEP_STEP_US if small else int(endpoint.keep_us * KEEP_MORE)
                 endpoint.keep_us = min(self.settings.idle_us, kept_us)
             return False
+        if endpoint.entry.kind not in self.small_tables:
+            self.small_tables.add(endpoint.entry.kind)
+            for other in self.endpoints.values():
+                if other.entry.kind == endpoint.entry.kind:
+                    other.keep_us = 0
+                    self.close_stale(other)
         endpoint.unmet += 1
-        endpoint.keep_us = int(endpoint.keep_us * KEEP_LESS)
+        endpoint.keep_us = 0
         pause_us = min(TABLE_PAUSE_MOST_US, TABLE_PAUSE_US << min(endpoint.unmet - 1, 8))
         endpoint.table_until = self.now + int(pause_us * self.chance.uniform(*SPREAD))
         return endpoint.unmet < UNMET
--- a/stoatusher/waking.py
+++ b/stoatusher/waking.py
@@ -73,7 +73,12 @@
         account = to.accounts.get(where) or Account(self.settings, self.listed_rate(entry))
         to.accounts[where] = account
         if name not in self.endpoints:
-            made = Endpoint(entry, account, deque(maxlen=KEPT), keep_us=self.first_keep_us)
+            made = Endpoint(
+                entry,
+                account,
+                deque(maxlen=KEPT),
+                keep_us=0 if entry.kind in self.small_tables else self.first_keep_us,
+            )
             to.endpoints[name] = self.endpoints[name] = made
         self.endpoints[name].entry, to.gone = entry, False
         self.touched[to] = None
