Ask discovery apart from the rest of a large fleet, and further apart when refused

Ruled out: full tables (those answer 503), silence of the watch, our reader.

Change: amberlug/platform/pauses.py draws each pause between half and all of a window of 0.05 s for each relay of the fleet, doubled up to 8 times that; a process in a large fleet asks first up to 2 s after its start, since its configuration holds a list. A lone relay pauses as before, now drawn.

--- a/amberlug/library/endpoints.py
+++ b/amberlug/library/endpoints.py
@@ -13,6 +13,7 @@
 from amberlug.core.ports import News
 from amberlug.core.slices import Slices
 from amberlug.platform.discovery import Watch
+from amberlug.platform.pauses import Pauses
 from stoatusher.interface import Entry, Settings, State
 
 Listed = Callable[[News], Iterator[None]]  # makes the work of news, to be done at once or in slices
@@ -163,7 +164,7 @@
         if self._known is not None:
             apply(listed(self._known))
         revision = self._known.revision if self._known is not None else 0
-        self._watch = Watch(self._where, settings.kinds, revision, listed)
+        self._watch = Watch(self._where, settings.kinds, revision, listed, Pauses(settings.relays))
         self._watch.start()
 
     def stop(self) -> None:
--- a/amberlug/platform/daemon.py
+++ b/amberlug/platform/daemon.py
@@ -25,6 +25,7 @@
 from amberlug.platform.discovery import Watch
 from amberlug.platform.memory import give_back
 from amberlug.platform.notices import Notices
+from amberlug.platform.pauses import Pauses
 from amberlug.platform.turns import Turns
 from stoatusher.interface import Settings
 
@@ -84,7 +85,8 @@
     # asyncio accepts as many in one turn as its backlog tells, before one of them can be given up again.
     listener = await loop.create_server(server, sock=sock, backlog=ACCEPTS)
     sock.listen(BACKLOG)
-    watch = Watch(config.discovery, config.settings.kinds, config.known.revision, node.listing)
+    pauses = Pauses(config.settings.relays)
+    watch = Watch(config.discovery, config.settings.kinds, config.known.revision, node.listing, pauses)
     loop.add_signal_handler(signal.SIGHUP, reread, watch, notices)
     watch.start()
     notices.start()
--- a/amberlug/platform/discovery.py
+++ b/amberlug/platform/discovery.py
@@ -10,9 +10,9 @@
 from amberlug.core.ports import Address, News
 from amberlug.core.slices import Slices
 from amberlug.http.link import Link, dial
+from amberlug.platform.pauses import Pauses
 
 SILENCE = 5.0  # seconds without a line, which come every 2 s, after which the watch is renewed
-PAUSE = 0.1, 1.0  # first and longest pause before a further try
 DIAL = 1.0  # seconds for a connection
 LINE_MOST = 1 << 24  # longest line that is read, 100,000 members: bounds memory against a broken peer
 
@@ -24,9 +24,14 @@
     """
 
     def __init__(
-        self, where: Address, kinds: Collection[str], revision: int, told: Callable[[News], Iterator[None]]
+        self,
+        where: Address,
+        kinds: Collection[str],
+        revision: int,
+        told: Callable[[News], Iterator[None]],
+        pauses: Pauses,
     ) -> None:
-        self._where, self._kinds, self._told = where, kinds, told
+        self._where, self._kinds, self._told, self._pauses = where, kinds, told, pauses
         self._slices = Slices(self._broken)
         self._link: Link | None = None
         self._task: asyncio.Task[None] | None = None
@@ -36,7 +41,11 @@
         self._heard = 0.0
 
     def start(self) -> None:
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        """Begin, in a large fleet a drawn while later: all of it may have been started at once."""
+        self._begin(self._pauses.start())
+
+    def _begin(self, after: float) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run(after))
 
     def stop(self) -> None:
         """End it with its connection."""
@@ -52,17 +61,16 @@
             log(f"discovery: now at {where[0]}:{where[1]}")
             self.stop()
             self._where = where
-            self.start()
+            self._begin(0.0)
 
-    async def _run(self) -> None:
-        pause = PAUSE[0]
+    async def _run(self, after: float) -> None:
+        await asyncio.sleep(after)
         while True:
             started = self._heard = asyncio.get_running_loop().time()
             self._link = await dial(*self._where, DIAL)
             if self._link is not None:
                 await self._follow(self._link)
-            pause = PAUSE[0] if self._heard > started else min(2 * pause, PAUSE[1])
-            await asyncio.sleep(pause)
+            await asyncio.sleep(self._pauses.after(self._heard > started))
 
     async def _follow(self, link: Link) -> None:
         self._slices.clear()  # what an earlier connection brought comes again
--- a/amberlug/platform/notices.py
+++ b/amberlug/platform/notices.py
@@ -10,7 +10,7 @@
 from amberlug.core.log import log
 from amberlug.core.messages import End, Outcome
 from amberlug.http.link import Link, LinkLostError, Reply, dial
-from amberlug.platform.discovery import PAUSE
+from amberlug.platform.pauses import FIRST, MOST
 
 ANSWER = 1.0  # seconds for a notice's answer, which comes at once
 AGAIN = 0.15  # seconds without an answer after which a notice goes again, on another connection
@@ -35,7 +35,7 @@
         self._unsent: dict[str, End] = {}
         self._posts: set[asyncio.Task[None]] = set()
         self._links: list[Link] = []  # that carry no notice
-        self._pause, self._most = PAUSE[0], NOTICES_MOST
+        self._pause, self._most = FIRST, NOTICES_MOST
         self._running = False
 
     @property
@@ -117,14 +117,14 @@
     def _answered(self, sent: list[End], status: int) -> None:
         loop = asyncio.get_running_loop()
         if status == 204 or (status == 400 and len(sent) == 1):
-            self._pause, self._most = PAUSE[0], NOTICES_MOST
+            self._pause, self._most = FIRST, NOTICES_MOST
             self._ended(sent, status)
         elif status == 400:  # one that can't be read must not hold back the others
             self._most = 1
             self._again(sent)
         else:
             loop.call_later(self._pause, self._again, sent)
-            self._pause = min(2 * self._pause, PAUSE[1])
+            self._pause = min(2 * self._pause, MOST)
         loop.call_soon(self.send)  # this one's place is free by then
 
     def _again(self, sent: list[End]) -> None:
--- a/benchmarks/sleeping.py
+++ b/benchmarks/sleeping.py
@@ -23,6 +23,7 @@
 from amberlug.learning import open_learning
 from amberlug.platform.discovery import Watch
 from amberlug.platform.notices import Notices
+from amberlug.platform.pauses import Pauses
 from amberlug.standin.crowd import Client, Crowd, Directory, Mood, Told, ends
 from amberlug.standin.deployment import settings
 from amberlug.standin.wire import PATIENCE
@@ -200,7 +201,7 @@
         read, notices = read_settings(settings()), Notices(("127.0.0.1", 1))
         learning = open_learning(Path(folder), 10**7, clock)
         node = Node(read, 1, journal, learning, Caller(read, 9, clock), notices, clock)
-        watch = Watch(("127.0.0.1", 1), read.kinds, 0, node.listing)
+        watch = Watch(("127.0.0.1", 1), read.kinds, 0, node.listing, Pauses(1))
         kept = int(listed * (1 - share))
         lists = [
             crowd.members(range(listed)),
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -16,6 +16,7 @@
 from amberlug.core.ports import News
 from amberlug.core.slices import Slices
 from amberlug.platform.discovery import LINE_MOST, Watch
+from amberlug.platform.pauses import Pauses
 from stoatusher import interface as api
 from stoatusher.interface import State
 from stoatusher.membership import BATCH, Comparison, Members
@@ -313,7 +314,7 @@
 
     def __init__(self) -> None:
         self.told: list[list[api.Entry]] = []
-        self.watch = Watch(("127.0.0.1", 1), KINDS, 0, self._listing)
+        self.watch = Watch(("127.0.0.1", 1), KINDS, 0, self._listing, Pauses(1))
 
     def _listing(self, news: News) -> Any:
         self.told.append(list(news.entries))
