--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -29,7 +29,7 @@
 SPREAD = 0.7, 1.3  # drawn part of that window: relays that fail together must not come back together
 TABLE_PAUSE_US = SECOND // 10  # first pause after a full table, doubled with each in a row
 TABLE_PAUSE_MOST_US = SECOND // 2
-UNMET = 5  # full tables in a row, with nothing answered between, that look like an outage
+UNMET = 5  # full tables in a row, from which on each is judged as in a small fleet
 KEEP_MORE = 1.5  # growth of a keeping with each new connection that is served, until a full table is met
 KEEP_STEP_US = SECOND // 500  # the same after that: an idle connection is worth less than a place for a call
 FEW = 4  # calls out at once to an endpoint that has delivered nothing lately; more may all be lost at once
@@ -258,7 +258,7 @@
         """Whether a call met the full table of an endpoint that many relays share; keep idle ones shorter."""
         # Guards against idle connections of relays that call seldom, which keep the others out: a new one is
         # then turned away at once, which tells nothing of the limit. Harms what is shut and tells no waits:
-        # it is called a few times more until it looks like an outage.
+        # it is called a few times more until that counts for its limit.
         refused = result is Result.REFUSED and not wait_us and not self.reused
         if not (refused or result is Result.UNCONNECTED):
             endpoint.unmet = 0
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -57,7 +57,7 @@
     assert relay.endpoint(send.endpoint).keep_us == KEEP_STEP_US
 
 
-def test_what_turns_every_new_connection_away_comes_to_look_like_an_outage() -> None:
+def test_where_no_connection_is_to_be_had_it_comes_to_look_like_an_outage() -> None:
     relay = shared("a")
     relay.step(relay.take())
     for attempt in range(UNMET):
@@ -68,6 +68,11 @@
             relay.advance(relay.now + 3 * SECOND // 2)
             assert len(relay.sent) == attempt + 2
     assert relay.endpoint("a").unmet == UNMET
+    relay.step(relay.take())
+    relay.advance(relay.now + 5 * SECOND)  # a failed endpoint rests for some seconds
+    ref, number, _, _ = relay.sent[-1]
+    relay.answer(ref, number, Result.UNCONNECTED)
+    assert relay.endpoint("a").cold
 
 
 def test_a_few_relays_keep_their_connections() -> None:
