Tell a limit from a full table by time, and go under the floor where all is refused

At small partners each refusal on a new connection was taken for a full table, so nothing was learned of their limits: but tables answer after one way there and back (50 to 66 ms), limits after the handshake (150 to 195 ms).

(1) What comes later than 0.6 of the quickest answer that had waited for a handshake in that zone is the limit's. (2) From the second refusal in a row on without a call taken on, the floor of M halves with each; with each call taken on M doubles up to the floor again.

--- a/amberlug/platform/daemon.py
+++ b/amberlug/platform/daemon.py
@@ -26,6 +26,7 @@
 from amberlug.platform.memory import give_back
 from amberlug.platform.notices import Notices
 from amberlug.platform.pauses import Pauses
+from amberlug.platform.trace import Trace
 from amberlug.platform.turns import Turns
 from stoatusher.interface import Settings
 
@@ -75,7 +76,8 @@
     front = None if make_front is None else make_front(config.settings, clock)
     transport = caller if front is None else front.transport(caller)
     ends = notices if front is None else front.ends(notices)
-    node = Node(config.settings, config.seed, journal, learning, transport, ends, clock)
+    observer = Trace() if os.environ.get("AMBERLUG_TRACE") == "log" else None
+    node = Node(config.settings, config.seed, journal, learning, transport, ends, clock, observer)
     node.listed(config.known)
     node.restore()
     server = Server(config.settings, node, clock.wall_ms, turns.waited_us, config.limits.clients)
--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -6,7 +6,6 @@
 """
 
 import itertools
-import random
 from collections.abc import Iterator, Sequence
 
 from stoatusher import folding
@@ -14,7 +13,7 @@
 from stoatusher.account import FIRST_GUESS_US, OPEN, SECOND, SLOT_SHARE
 from stoatusher.interface import Effect, Group, ListKind, Result
 from stoatusher.state import TURNS, Call, Destination, Endpoint, Message
-from stoatusher.waking import Awake
+from stoatusher.tables import SPREAD, Tables
 
 RATE_NOISE = 0.3  # a reported limit this far from the one in use replaces it; nearer is noise
 SHUT = 3  # windows of one told wait that look like a destination that is shut
@@ -26,12 +25,6 @@
 TABLE_US = 10 * SECOND  # a table of connections found full is believed for so long
 PACE_US = 20 * SECOND  # memory of a relay's own pace at an unlisted destination
 LONGEST = 3  # longest window of the cold bound, in OverloadForUs: it trades caution for messages' lives
-SPREAD = 0.7, 1.3  # drawn part of that window: relays that fail together must not come back together
-TABLE_PAUSE_US = SECOND // 10  # first pause after a full table, doubled with each in a row
-TABLE_PAUSE_MOST_US = SECOND // 2
-UNMET = 5  # full tables in a row, from which on each is judged as in a small fleet
-KEEP_MORE = 1.5  # growth of a keeping with each new connection that is served, until a full table is met
-KEEP_STEP_US = SECOND // 500  # the same after that: an idle connection is worth less than a place for a call
 FEW = 4  # calls out at once to an endpoint that has delivered nothing lately; more may all be lost at once
 LATELY_US = 60 * SECOND
 FRESH_SHARE = 0.9  # part of the slots that calls to such endpoints may take: the rest is for what delivers
@@ -53,13 +46,11 @@
     return not (message.ran or message.out) or message.kind.effect is Effect.SAFE or keyed
 
 
-class Sender(Awake):
+class Sender(Tables):
     """All decisions of one relay."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        super().__init__(settings)
-        self.chance = random.Random(seed)
-        self.reused = False  # whether the outcome that is being taken in came on a connection used before
+        super().__init__(settings, seed)
         self.asked, self.subscribed, self.pause_us = False, False, ASK_AGAIN_US
 
     def step(self, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
@@ -90,27 +81,6 @@
         self.fold_some()
         return self.actions
 
-    def close_idle(self) -> None:
-        """Keep an idle connection for no longer than the endpoint's table has had room for of late."""
-        # Guards against tables full of idle connections. Harms where bursts are far apart: a handshake each.
-        for endpoint in self.rested if self.crowd > 1 else ():
-            if endpoint.idle and not endpoint.closing:
-                self.close_stale(endpoint)
-        self.rested = {}
-
-    def close_stale(self, endpoint: Endpoint) -> None:
-        """Close what idles at an endpoint once it was kept for long enough, or look again then."""
-        endpoint.closing = False
-        if not endpoint.idle or self.endpoints.get(endpoint.entry.endpoint) is not endpoint:
-            return
-        until_us = endpoint.idle[-1] + endpoint.keep_us
-        if until_us <= self.now:
-            endpoint.idle.clear()
-            self.actions.append(api.CloseIdle(endpoint.entry.endpoint))
-        else:
-            endpoint.closing = True
-            self.timer(until_us, endpoint)
-
     def due(self, target: Message | Endpoint | int | None) -> None:
         if target is None:
             self.ask()
@@ -222,9 +192,10 @@
     def judge(self, endpoint: Endpoint, start_us: int, result: Result, wait_us: int) -> None:
         """Judge an endpoint: what looks like an outage starts the cold bound, a success the way back."""
         account = endpoint.account
-        if self.crowd > 1 and self.table_full(endpoint, result, wait_us):
+        if self.crowd > 1 and self.table_full(endpoint, start_us, result, wait_us):
             return
         if result is Result.DONE:
+            account.done(self.now)
             endpoint.done_us = self.now
             endpoint.failure_rate *= 1 - ANSWER_WEIGHT
             if not endpoint.cold:
@@ -254,31 +225,6 @@
                 endpoint.since_us = self.now
             endpoint.cold, endpoint.back_us = True, None
 
-    def table_full(self, endpoint: Endpoint, result: Result, wait_us: int) -> bool:
-        """Whether a call met the full table of an endpoint that many relays share; keep idle ones shorter."""
-        # Guards against idle connections of relays that call seldom, which keep the others out: a new one is
-        # then turned away at once, which tells nothing of the limit. Harms what is shut and tells no waits:
-        # it is called a few times more until that counts for its limit.
-        refused = result is Result.REFUSED and not wait_us and not self.reused
-        if not (refused or result is Result.UNCONNECTED):
-            endpoint.unmet = 0
-            if not self.reused and result is Result.DONE:
-                small = endpoint.entry.kind in self.small_tables
-                kept_us = endpoint.keep_us + KEEP_STEP_US if small else int(endpoint.keep_us * KEEP_MORE)
-                endpoint.keep_us = min(self.settings.idle_us, kept_us)
-            return False
-        if endpoint.entry.kind not in self.small_tables:
-            self.small_tables.add(endpoint.entry.kind)
-            for other in self.endpoints.values():
-                if other.entry.kind == endpoint.entry.kind:
-                    other.keep_us = 0
-                    self.close_stale(other)
-        endpoint.unmet += 1
-        endpoint.keep_us = 0
-        pause_us = min(TABLE_PAUSE_MOST_US, TABLE_PAUSE_US << min(endpoint.unmet - 1, 8))
-        endpoint.table_until = self.now + int(pause_us * self.chance.uniform(*SPREAD))
-        return endpoint.unmet < UNMET
-
     def cold_opening(self, endpoint: Endpoint) -> int:
         """When an endpoint may be called by this relay's part of what it takes while down or cold."""
         # Guards against pushing over what returns unannounced, so it holds in the outage too; spares calls to
--- a/stoatusher/state.py
+++ b/stoatusher/state.py
@@ -128,6 +128,7 @@
     calls: dict[tuple[int, int], tuple[Message, Call]] = field(default_factory=dict)
     probes: dict[str, Call] = field(default_factory=dict)
     touched: dict[Destination, None] = field(default_factory=dict)  # to be served in this round
+    past_us: dict[str, int] = field(default_factory=dict)  # quickest answer past a table, by zone
     small_tables: set[str] = field(default_factory=set)  # kinds of which a table was met full
     rested: dict[Endpoint, None] = field(default_factory=dict)  # had a connection come free in this round
     starved: OrderedDict[Destination, None] = field(default_factory=OrderedDict)  # wait for a slot
