--- a/stoatusher/account.py
+++ b/stoatusher/account.py
@@ -87,8 +87,8 @@
             room = self.even * min(self.settings.relays, ROOM)
             self.units = max(LEAST_UNITS, room)
             if self.many:
-                least = min(LEAST_UNITS, max(LEAST_PART, room) if room <= 1 else round(room))
-                self.units = max(least, EVEN_ROOM * self.even)
+                few = max(LEAST_PART, room) if room <= 1 else round(min(room, LEAST_UNITS))
+                self.units = max(few, EVEN_ROOM * self.even)
         self.stretched = self.window
         self.longest = max(kind.deadline_us for kind in self.settings.classes.values()) // TRIES
         self.buckets = Buckets(self.window // STEPS, KEPT)
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -251,3 +251,14 @@
         relay.answer(1, 0, Result.REFUSED, reused=True)
         until.add(relay.endpoint("a").account.paused_until)
     assert len(until) == 8
+
+
+@pytest.mark.parametrize("rate", [5e-324, 1e-9, 1e300, 1e308, float("inf")])
+@pytest.mark.parametrize("relays", [1, 40])
+def test_a_rate_that_no_partner_can_have_stops_no_relay(rate: float, relays: int) -> None:
+    one = Account(read_settings(setup(Balancers=relays)), rate)
+    for at in range(1, 40):
+        one.refused(at * SECOND // 4, 0.55)
+        consumed(one, at * SECOND // 4, Result.REFUSED)
+        assert one.limit(at * SECOND) > 0
+        assert one.opening(at * SECOND) >= at * SECOND
