Ask discovery before the first call, and send nothing by a list it has not confirmed

Cause: `Pauses.start` drew up to 0.05 s a relay, 10 s with 200, before a process that had just begun asked discovery, and up to 80 s where it was refused; until then it went by its configuration, which is as old as the restart. What discovery's agent has counts as told and may be called for 2 s. SIGHUP before its handler stood would have ended the process; not seen.

Change: the daemon asks at once and waits up to 0.25 s before it goes on with what it holds; a lost watch is asked for within half the grace whatever the fleet, and further apart only where discovery refuses (8 s at most). The module is told when the list is the newest there is (`Current`); 7.75 s later (6 s told, 2 s grace, 0.25 s to leave) it sends nothing and refuses what is new. A refusal's body is no longer read as news. SIGHUP is kept from the start on.

--- a/amberlug/core/node.py
+++ b/amberlug/core/node.py
@@ -215,6 +215,10 @@
             self._round()
             yield
 
+    def current(self, seconds: float) -> None:
+        """Learn that the list is the newest there is, and for how many seconds calls may go by it."""
+        self._tell(api.Current(int(seconds * SECOND)))
+
     def _relocate(self, entries: Sequence[api.Entry]) -> None:
         """Have connections closed to what drains, is gone or has moved; calls that are out keep theirs."""
         for entry in entries:
--- a/amberlug/http/link.py
+++ b/amberlug/http/link.py
@@ -87,7 +87,7 @@
         body: bytes = b"",
         sink: Callable[[bytes], None] | None = None,
     ) -> asyncio.Future[Reply]:
-        """Write a request; the answer's body goes to `sink` as it comes, if there is one."""
+        """Write a request; the body of a 200 goes to `sink` as it comes, if there is one."""
         self._waiter = asyncio.get_running_loop().create_future()
         if not self.usable or self._transport is None:
             self._waiter.set_exception(LinkLostError(written=False))
@@ -148,7 +148,7 @@
                 event.status_code, {name.decode(): value.decode("latin-1") for name, value in event.headers}
             )
         elif isinstance(event, h11.Data) and self._reply is not None:
-            if self._sink is not None:
+            if self._sink is not None and self._reply.status == 200:  # what refuses tells nothing
                 self._sink(bytes(event.data))
             else:
                 self._reply.body += event.data
--- a/amberlug/library/endpoints.py
+++ b/amberlug/library/endpoints.py
@@ -14,6 +14,7 @@
 from amberlug.core.slices import Slices
 from amberlug.platform.discovery import Watch
 from amberlug.platform.pauses import Pauses
+from stoatusher.account import SECOND
 from stoatusher.interface import Entry, Settings, State
 
 Listed = Callable[[News], Iterator[None]]  # makes the work of news, to be done at once or in slices
@@ -153,6 +154,10 @@
     """Guard against an error that can't be: a host's list is checked before its news are told."""
 
 
+def _unasked() -> None:
+    """A host's list has no bound on its age."""
+
+
 class Discovery:
     """The platform's discovery, followed as the daemon does; `known` is a list to begin with."""
 
@@ -164,7 +169,8 @@
         if self._known is not None:
             apply(listed(self._known))
         revision = self._known.revision if self._known is not None else 0
-        self._watch = Watch(self._where, settings.kinds, revision, listed, Pauses(settings.relays))
+        pauses = Pauses(settings.relays, settings.drain_grace_us / SECOND)
+        self._watch = Watch(self._where, settings.kinds, revision, listed, pauses, _unasked)
         self._watch.start()
 
     def stop(self) -> None:
--- a/amberlug/platform/daemon.py
+++ b/amberlug/platform/daemon.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from amberlug.core.clock import LoopClock
+from amberlug.core.clock import SECOND, LoopClock
 from amberlug.core.journal import open_journal
 from amberlug.core.lock import FolderLock
 from amberlug.core.log import LOGGER, log
@@ -34,6 +34,7 @@
 COLLECT_FOR = 3.0  # seconds after SIGTERM for calls that are out: SIGKILL comes at 3.7 s
 LOOK_AGAIN = 0.02
 BACKLOG = 512
+ASK_FOR = 0.25  # seconds that a start waits for discovery, which answers at once
 DISK_SHARE = 0.9  # of the folder's room for the journal; over it the relay is ended
 YOUNG = 10_000  # new objects between looks for garbage in cycles, of which a message leaves few
 ACCEPTS = 16  # connections accepted in one turn of the loop
@@ -64,14 +65,18 @@
 async def serve(config: Config, turns: Turns, make_front: MakeFront | None = None) -> None:
     """Serve until SIGTERM."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+    stop, moved = asyncio.Event(), asyncio.Event()
+    # Guards against a signal that comes before there is a watch to move, which would end the process.
+    loop.add_signal_handler(signal.SIGHUP, moved.set)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    away = any(config.state.iterdir())  # an earlier process was here
     lock = FolderLock(config.state, lambda: not loop.is_closed())
     clock = LoopClock()
     room = int(config.limits.disk_bytes * DISK_SHARE)
     journal = open_journal(config.state, room - room // SHARE, clock, config.durability)
     learning = open_learning(config.state, room // SHARE, clock, config.durability, config.learning_key)
+    pauses = Pauses(config.settings.relays, config.settings.drain_grace_us / SECOND)
     caller, notices = Caller(config.settings, config.limits.links, clock), Notices(config.discovery)
     front = None if make_front is None else make_front(config.settings, clock)
     transport = caller if front is None else front.transport(caller)
@@ -79,6 +84,14 @@
     observer = Trace(config.settings) if os.environ.get("AMBERLUG_TRACE") == "log" else None
     node = Node(config.settings, config.seed, journal, learning, transport, ends, clock, observer)
     node.listed(config.known)
+    node.current(pauses.good_at_first(away))
+    watch = Watch(
+        config.discovery, config.settings.kinds, config.known.revision, node.listing, pauses,
+        lambda: node.current(pauses.good_for()),
+    )  # fmt: skip
+    watch.start()
+    # Guards against first calls to what began to drain while no process was here.
+    await watch.tried(ASK_FOR)
     node.restore()
     server = Server(config.settings, node, clock.wall_ms, turns.waited_us, config.limits.clients)
     sock = socket.create_server(
@@ -87,11 +100,10 @@
     # asyncio accepts as many in one turn as its backlog tells, before one of them can be given up again.
     listener = await loop.create_server(server, sock=sock, backlog=ACCEPTS)
     sock.listen(BACKLOG)
-    pauses = Pauses(config.settings.relays)
-    watch = Watch(config.discovery, config.settings.kinds, config.known.revision, node.listing, pauses)
     loop.add_signal_handler(signal.SIGHUP, reread, watch, notices)
-    watch.start()
     notices.start()
+    if moved.is_set():
+        reread(watch, notices)
     # Guards against collections that look through all modules again and again, and hold up the loop.
     gc.collect()
     gc.freeze()
--- a/amberlug/platform/discovery.py
+++ b/amberlug/platform/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Collection, Iterator
 
 from amberlug.core.listing import read_line
@@ -21,6 +22,7 @@
     """Follows the list; a connection that breaks, goes silent or sends what can't be read is renewed.
 
     `told` makes the work of news, which is done in slices; `revision` is that of the list told before.
+    `current` is called when all that discovery had to tell has been told, each time that it says so.
     """
 
     def __init__(
@@ -30,8 +32,10 @@
         revision: int,
         told: Callable[[News], Iterator[None]],
         pauses: Pauses,
+        current: Callable[[], None],
     ) -> None:
         self._where, self._kinds, self._told, self._pauses = where, kinds, told, pauses
+        self._current, self._tried = current, asyncio.Event()
         self._slices = Slices(self._broken)
         self._link: Link | None = None
         self._task: asyncio.Task[None] | None = None
@@ -39,10 +43,17 @@
         self._rest = bytearray()
         self._searched = self._unread = 0  # bytes of the rest without a line's end; of lines still to be read
         self._heard = 0.0
+        self._confirmed = False  # whether this connection has brought its first line: what has changed
 
     def start(self) -> None:
-        """Begin, in a large fleet a drawn while later: all of it may have been started at once."""
-        self._begin(self._pauses.start())
+        """Begin to ask."""
+        self._begin(0.0)
+
+    async def tried(self, seconds: float) -> None:
+        """Wait until discovery has answered once, or refused, for so long at the most."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._tried.wait()
 
     def _begin(self, after: float) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run(after))
@@ -68,14 +79,16 @@
         while True:
             started = self._heard = asyncio.get_running_loop().time()
             self._link = await dial(*self._where, DIAL)
-            if self._link is not None:
-                await self._follow(self._link)
-            await asyncio.sleep(self._pauses.after(self._heard > started))
+            refused = self._link is not None and await self._follow(self._link)
+            self._tried.set()
+            await asyncio.sleep(self._pauses.after(self._heard > started, refused))
 
-    async def _follow(self, link: Link) -> None:
+    async def _follow(self, link: Link) -> bool:
+        """Follow the list on a connection until it ends: whether it ended by a refusal."""
         self._slices.clear()  # what an earlier connection brought comes again
         self._rest.clear()
         self._searched = self._unread = 0
+        self._confirmed = False
         target = f"/discovery/hosts?follow=1&since={self._revision}"
         reply = link.request("GET", target, [], sink=self._data)
         loop = asyncio.get_running_loop()
@@ -84,6 +97,7 @@
         if not reply.done():
             log("discovery: silent, connection renewed")
         link.close()
+        return reply.done()
 
     def _data(self, data: bytes) -> None:
         self._heard = asyncio.get_running_loop().time()
@@ -94,7 +108,10 @@
             self._searched = 0
             if line and not line.isspace():  # strip() would copy what may be long
                 self._unread += len(line)
+                self._confirmed = True
                 self._slices.add(self._read(line))
+            if self._confirmed:
+                self._slices.add(self._confirm())
         self._searched = len(self._rest)
         if len(self._rest) + self._unread > LINE_MOST:
             self._broken(ValueError("line too long"))
@@ -106,6 +123,12 @@
         self._revision = news.revision
         self._unread -= size
 
+    def _confirm(self) -> Iterator[None]:
+        """Say that the list is the newest, once all that came before has been told."""
+        self._current()
+        self._tried.set()
+        yield
+
     def _broken(self, error: ValueError) -> None:
         # A broken line must not stop the relay; what it held comes again on the next connection.
         log(f"discovery: {error}, connection renewed")
--- a/amberlug/platform/pauses.py
+++ b/amberlug/platform/pauses.py
@@ -1,4 +1,4 @@
-"""How long to wait before discovery is asked again: drawn, and the longer the larger the fleet."""
+"""When discovery is asked again, and for how long a list goes by that it has not confirmed: no sockets."""
 
 from __future__ import annotations
 
@@ -8,24 +8,44 @@
 FIRST, MOST = 0.1, 1.0  # seconds: first and longest pause of a lone relay
 APART = 0.05  # seconds for each relay of the fleet: so far apart one asks, and further when refused
 DOUBLINGS = 3  # of that: discovery takes a call from each relay in some seconds
+TOLD_BY = 6.0  # seconds after which a change counts as told, whether or not it arrived: the protocol's
+SOON = 0.5  # part of the grace for drains in which a lost watch is asked for first: the rest is to hear
+AWAY = 5.0  # seconds for which a restart may have kept a process from hearing: as AWAY_US in the module
+MARGIN = 0.25  # seconds that a call may take from the decision to its first byte, and a bit
 
 
 class Pauses:
-    """Draws one relay's pauses; `chance` gives numbers from 0 to 1, by default each process its own."""
-
-    # Guards against a fleet that loses its watches, or is started, at one moment: relays that ask again each
-    # second ask for more than discovery can answer, which then answers nobody. It harms the relay whose
-    # watch alone was lost: its list is some seconds older than it could be.
-    def __init__(self, relays: int, chance: Callable[[], float] = random.random) -> None:
-        self._apart, self._chance, self._failed = relays * APART, chance, 0
-
-    def start(self) -> float:
-        """Seconds until a process that has just begun asks: its configuration holds a list to begin with."""
-        return self._apart * self._chance() if self._apart > MOST else 0.0
-
-    def after(self, heard: bool) -> float:
-        """Seconds until discovery is asked again, after a try that had news or, if not `heard`, had none."""
+    """Draws one relay's pauses; `chance` gives numbers from 0 to 1, by default each process its own.
+
+    `grace` is the settings' for drains, in seconds.
+    """
+
+    # Guards against a fleet that loses its watches at one moment: relays that ask again each second ask for
+    # more than discovery can answer, which then answers nobody. It harms the relay whose watch alone was
+    # lost: its list is some tenths of a second older than it could be.
+    def __init__(self, relays: int, grace: float, chance: Callable[[], float] = random.random) -> None:
+        # Guards against calls to what drains: what discovery's agent has counts as told, heard or not, and
+        # may be called for the grace only. With 200 relays the window would be 10 s, and 80 s when refused.
+        self._apart = relays * APART
+        self._soon = min(self._apart, SOON * grace)
+        self._most = max(MOST, min(self._apart * 2**DOUBLINGS, TOLD_BY + grace))
+        self._grace, self._chance = grace, chance
+        self._failed = self._refused = 0
+
+    def after(self, heard: bool, refused: bool = False) -> float:
+        """Seconds until discovery is asked again, after a try that had news, was refused, or met silence."""
+        # Silence costs discovery nothing, and what it has when it is back counts as told: asked soon.
         self._failed = 0 if heard else self._failed + 1
+        self._refused = 0 if heard else self._refused + refused
         lone: float = min(MOST, FIRST * 2.0 ** min(self._failed, 10))
-        fleet: float = self._apart * 2.0 ** min(self._failed, DOUBLINGS)
+        further: float = min(self._most, self._apart * 2.0 ** min(self._refused, 10))
+        fleet = further if self._refused else self._soon
         return max(lone, fleet) * (0.5 + self._chance() / 2)
+
+    def good_for(self) -> float:
+        """Seconds for which calls may go by a list just confirmed: until a drain must be kept."""
+        return TOLD_BY + self._grace - MARGIN
+
+    def good_at_first(self, away: bool) -> float:
+        """The same for the list that a process begins with, which may have been `away` for a restart."""
+        return self.good_for() - AWAY * away
--- a/amberlug/standin/wire.py
+++ b/amberlug/standin/wire.py
@@ -137,16 +137,23 @@
     def __init__(self) -> None:
         super().__init__((204, [], b""))
         self.watches: list[Seen] = []
+        self.first = b""  # what each watch is told at first; by default, that nothing has changed
         self.on_request = self._watch
 
     def _watch(self, seen: Seen) -> bool:
         if not seen.path.startswith("/discovery/hosts"):
             return False
         seen.write(h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")]))
-        seen.write(h11.Data(data=b"\n"))
+        since = int(seen.path.rpartition("since=")[2])
+        unchanged = b'{"revision":%d,"complete":false,"members":[]}' % since
+        seen.write(h11.Data(data=(self.first or unchanged) + b"\n"))
         self.watches.append(seen)
         return True
 
+    def silent(self, seen: Seen) -> bool:
+        """Answer nothing, as discovery that is down."""
+        return True
+
     def tell(self, line: bytes) -> None:
         self.watches[-1].write(h11.Data(data=line + b"\n"))
 
--- a/stoatusher/interface.py
+++ b/stoatusher/interface.py
@@ -150,6 +150,13 @@
     entries: tuple[Entry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Current:
+    """The list is the newest that there is; calls may go by it for `for_us` from now, until it is again."""
+
+    for_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Taken:
     """A new message that this relay now answers for; it may have waited to be read for `waited_us`."""
@@ -282,7 +289,7 @@
     data: bytes
 
 
-Event = Listed | Taken | Resumed | Closing | Outcome | Probed | Withdrawn | Due | PeerNote
+Event = Listed | Current | Taken | Resumed | Closing | Outcome | Probed | Withdrawn | Due | PeerNote
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatusher/lasting.py
+++ b/stoatusher/lasting.py
@@ -12,7 +12,7 @@
 
 from stoatusher import folding
 from stoatusher import interface as api
-from stoatusher.account import Account
+from stoatusher.account import OPEN, Account
 from stoatusher.decide import ANSWER_WEIGHT, MAY_HAVE_RUN, Sender, may_refuse, may_repeat
 from stoatusher.interface import Effect, Group, Result, State
 from stoatusher.state import NEVER, Call, Destination, Endpoint, Message
@@ -39,6 +39,7 @@
     waking = False  # whether a destination is being made from the list
     usual_worth = 0.0  # of late messages
     stale_rate = 0.0  # part of late calls on used connections that were reset
+    list_good_until = OPEN  # from then on an endpoint may drain that this relay does not know of
 
     def __init__(self, settings: api.Settings, seed: int, recall: api.Recall | None = None) -> None:
         super().__init__(settings, seed)
@@ -47,8 +48,12 @@
     def step(self, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
         """Take in what came as in any life, then what belongs to a restart, and serve what that touched."""
         self.closing = self.closing or any(isinstance(event, api.Closing) for event in events)
+        confirmed = [event for event in events if isinstance(event, api.Current)]
+        old = confirmed and now_us >= self.list_good_until
+        for current in confirmed:
+            self.list_good_until = now_us + current.for_us
         super().step(now_us, events)
-        own = [it for it in events if isinstance(it, api.Resumed | api.Closing)]
+        own = [it for it in events if old or isinstance(it, api.Resumed | api.Closing)]
         for event in own:
             if isinstance(event, api.Resumed):
                 self.resume(event)
@@ -60,7 +65,10 @@
         """Send what fits; while closing nothing goes out, and what would lose too much is handed back."""
         # Guards against results that wait out a restart here, late, while another relay could send them.
         if not self.closing:
-            super().serve(destination)
+            # Guards against calls to what drains or is gone, which counts as told some seconds later whether
+            # or not it arrived. It could do harm where discovery is down for long: nothing is sent then.
+            if self.now < self.list_good_until:
+                super().serve(destination)
             return
         back_us, halving = self.now + AWAY_US, self.settings.halving
         for message in list(destination.waiting.values()):
@@ -147,6 +155,8 @@
         """Whether to refuse a message, the less it is worth the sooner, since what comes waits to be read."""
         # Guards against answers so late that clients leave and come again, which doubles the work: whatever
         # takes the process's time. Could do harm where one long turn, not load, made what came in it wait.
+        if self.now >= self.list_good_until and self.resumed is None:
+            return True  # another relay may know where it can go
         worth = self.settings.classes[event.message_class].worth
         usual = self.usual_worth or worth
         self.usual_worth = usual + (worth - usual) * USUAL_WEIGHT
@@ -234,7 +244,8 @@
     def may_start(self, now_us: int, ref: int, name: str) -> bool:
         """Whether a send that was decided on may still leave: no drain, wait or end has come since."""
         endpoint, message = self.endpoints.get(name), self.messages.get(ref)
-        if endpoint is None or message is None or endpoint.account.blocked_until > now_us:
+        late = now_us >= self.list_good_until
+        if endpoint is None or message is None or endpoint.account.blocked_until > now_us or late:
             return False
         # Guards against a keyed message whose key runs out between the decision and the last byte.
         oldest = now_us + ON_ITS_WAY_US - message.kind.key_life_us
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,5 +1,6 @@
 """SIGHUP: the configuration is read again under load, and the relay goes on with all it holds."""
 
+import asyncio
 import signal
 from pathlib import Path
 
@@ -33,6 +34,48 @@
     run(scenario())
 
 
+def test_a_restart_hears_of_what_drains_before_it_calls_anything(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        first, other = StandIn(None), StandIn()
+        async with world(tmp_path, first, Balancers=200) as (relay, platform):
+            await other.start()
+            await relay.hand_in("m1")
+            await first.requests(1)
+            await relay.kill()
+            platform.first = news(member(first.port, "e0", "terminating"), member(other.port, "e9"))
+            await relay.start()  # its configuration lists e0 as in service
+            assert [seen.name for seen in await other.requests(1)] == ["m1"]
+            await relay.hand_in("m2")
+            assert [seen.name for seen in await other.requests(2)] == ["m1", "m2"]
+            assert len(first.seen) == 1
+            await other.stop()
+
+    run(scenario())
+
+
+def test_a_signal_to_a_relay_that_is_starting_does_not_end_it(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with world(tmp_path, StandIn()) as (relay, platform):
+            await relay.kill()
+            platform.on_request = platform.silent  # so that the start waits for it
+            new = Platform()
+            await new.start()
+
+            async def move() -> None:
+                await platform.until(lambda: platform.closed < platform.dials)
+                relay.platform = new
+                relay.configure()
+                relay.signal(signal.SIGHUP)
+
+            moving = asyncio.create_task(move())
+            await relay.start()
+            await moving
+            await new.watched(1)
+            await new.stop()
+
+    run(scenario())
+
+
 def test_what_is_held_goes_on_over_a_new_configuration(tmp_path: Path) -> None:
     async def scenario() -> None:
         endpoint = StandIn(OK, None)
