Begin the bound on what is cold at the first connection that does not come up, for fleets

Need: the rule on cold returns sums what all relays send that had seen a call fail. Two causes, both in stoatusher/decide.py: `judge` took one connection that did not come up for no outage (0.4 of 0.5), so that a first success afterwards lifted every bound; and `cold_opening` had a relay with one failure wait 3 s whatever the partner's rate, while one with two waits by its part of the rate.

Change: in fleets of more than four, a connection that does not come up begins the bound at once (a full table answers 503), and the first wait goes by the same part, 6 s at the most. An answer that crosses a hang-up is no longer taken for heard.

--- a/amberlug/cli/labs.py
+++ b/amberlug/cli/labs.py
@@ -1,4 +1,4 @@
-"""`amberlug lab run`: plays scenarios in virtual time, and sums up what came of them."""
+"""`amberlug lab run` and `days`: play scenarios in virtual time, and sum up what came of them."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import amberlug
-from amberlug.lab.runs import Runs, build_of, jobs_of, summed_up, table
+from amberlug.lab.runs import Runs, build_of, days, jobs_of, summed_up, table
 from amberlug.lab.scenario import BadScenarioError
 
 ROOT = Path(amberlug.__file__).parents[1]
@@ -50,6 +50,18 @@
     return 1 if broken else 0
 
 
+def fleet(first: int, count: int, relays: int, processes: int | None) -> int:
+    """Play drawn days of a whole fleet; 0, or 1 where a rule was broken."""
+    broken = served = 0.0
+    for it in days(first, count, relays, processes or os.cpu_count() or 1):
+        print(f"{it['scenario']}: {it['messages']} messages, service {it['service']:.3f}")
+        for line in it["broken"]:
+            print(f"BROKEN {it['scenario']}: {line}")
+        broken, served = broken + bool(it["broken"]), served + it["service"]
+    print(f"{count} days of {relays} relays: service {served / count:.3f}, a rule broken on {broken:.0f}")
+    return 1 if broken else 0
+
+
 def found(name: str) -> Path:
     """A scenario's file: one of the library by its name, or any by its path."""
     path = LIBRARY / f"{name}.toml"
--- a/amberlug/cli/main.py
+++ b/amberlug/cli/main.py
@@ -10,6 +10,13 @@
 from pathlib import Path
 
 
+def positive(text: str) -> int:
+    """Read a whole number of one or more; `ValueError` for any other."""
+    if (number := int(text)) < 1:
+        raise ValueError(text)
+    return number
+
+
 def parser() -> argparse.ArgumentParser:
     """Describe the command line."""
     it = argparse.ArgumentParser("amberlug", description="A message relay for partner delivery.")
@@ -50,6 +57,11 @@
     played.add_argument("--seeds", type=int, default=8, help="plays of each")
     played.add_argument("--jobs", type=int, help="processes; as many as there are cores")
     played.add_argument("--store", type=Path, default=Path("lab.db"), help="where runs are kept")
+    drawn = actions.add_parser("days", help="play drawn days of a whole fleet, and tell the rules broken")
+    drawn.add_argument("--first", type=int, default=1, help="seed of the first")
+    drawn.add_argument("--count", type=positive, default=20, help="how many")
+    drawn.add_argument("--relays", type=positive, default=200)
+    drawn.add_argument("--jobs", type=positive, help="processes; as many as there are cores")
     for command in (check, trial, inspect, verify, salvage, *learned):
         command.add_argument("--json", action="store_true", help="print one JSON object, for machines")
     return it
@@ -78,6 +90,8 @@
     if options.command == "lab":
         from amberlug.cli import labs
 
+        if options.action == "days":
+            return labs.fleet(options.first, options.count, options.relays, options.jobs)
         return labs.main(options.scenario, options.seeds, options.jobs, options.store)
     from amberlug.platform import daemon
 
--- a/amberlug/lab/partners.py
+++ b/amberlug/lab/partners.py
@@ -180,7 +180,8 @@
         """The relay closed the connection: what was not served is not, what is may run on."""
         if self.state == "silent":
             self._knew.add(id(pending.checker))
-        if not pending.gone:
-            pending.gone = True
-            for call in pending.calls:
+        for call in pending.calls:
+            call.delivered = False  # an answer that is under way is heard by nobody
+            if not pending.gone:
                 pending.checker.ended(call, self._time.us / SECOND, Ran.MAY)
+        pending.gone = True
--- a/amberlug/lab/runs.py
+++ b/amberlug/lab/runs.py
@@ -16,6 +16,7 @@
 
 from scipy import stats
 
+from amberlug.lab.days import draw
 from amberlug.lab.play import Play
 from amberlug.lab.scenario import Scenario, read
 
@@ -105,6 +106,18 @@
     return Play(scenario, seed).run()
 
 
+def day(seed: int, relays: int) -> dict[str, Any]:
+    """Play one drawn day of a whole fleet."""
+    return Play(draw(seed, relays), seed).run()
+
+
+def days(first: int, count: int, relays: int, processes: int) -> Iterator[dict[str, Any]]:
+    """Play drawn days, each with its figures, in the order of their seeds."""
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(processes, mp_context=context) as pool:
+        yield from pool.map(day, range(first, first + count), [relays] * count)
+
+
 @dataclass(frozen=True, slots=True)
 class Summary:
     """Runs of one scenario: the mean of a figure, and half the width of its interval."""
--- a/stoatusher/decide.py
+++ b/stoatusher/decide.py
@@ -221,7 +221,10 @@
         endpoint.spread = self.chance.uniform(*SPREAD)
         weight = ANSWER_WEIGHT if result in (Result.ERROR, Result.RESET) else SILENCE_WEIGHT
         endpoint.failure_rate += (1 - endpoint.failure_rate) * weight
-        if endpoint.cold or endpoint.failure_rate >= OUTAGE_RATE or result is Result.REFUSED:
+        # Guards what is back and cold against hundreds, each of which has met it once: a table that is full
+        # answers. Harms what could not be reached once: this relay's part of it alone for a while.
+        down = result is Result.REFUSED or (result is Result.UNCONNECTED and self.crowd > 1)
+        if endpoint.cold or endpoint.failure_rate >= OUTAGE_RATE or down:
             if not endpoint.cold:
                 self.actions.append(api.Log(f"outage at {endpoint.entry.endpoint}: {result.value}"))
                 endpoint.since_us = self.now
@@ -231,26 +234,34 @@
         """When an endpoint may be called by this relay's part of what it takes while down or cold."""
         # Guards against pushing over what returns unannounced, so it holds in the outage too; spares calls to
         # what fails most of them. It harms a healthy endpoint that fails twice by chance: a lower pace.
+        rules, share = self.settings, self.settings.cold_share
         if not endpoint.cold:  # of many relays each has one failure to go by: it waits before the next try
-            wait_us = AVOID_US * endpoint.spread * (endpoint.done_us < endpoint.failed_us)
+            if endpoint.done_us >= endpoint.failed_us:
+                return self.now
+            shared_us = LONGEST * rules.overload_us if self.crowd > 1 else 0
+            wait_us = max(AVOID_US, min(1 / self.part(endpoint, share), shared_us)) * endpoint.spread
             return max(self.now, endpoint.failed_us + int(wait_us))
-        account, rules, share = endpoint.account, self.settings, self.settings.cold_share
         if endpoint.back_us is not None:
             share += (1 - share) * (self.now - endpoint.back_us) / max(1, rules.warm_us)
         if share > 1:
             endpoint.cold = False
             self.actions.append(api.Log(f"outage over at {endpoint.entry.endpoint}"))
             return self.now
-        rate = account.pace if account.rate is None else account.rate / rules.relays
-        siblings = self.destinations[endpoint.entry.destination].endpoints.values()
-        among = sum(other.account is account for other in siblings)
-        part = rules.overload_factor * share * rate / max(1, among) / SECOND
+        part = self.part(endpoint, share)
         # Relays that saw it fail add up while it lasts, so each waits as long again, not all at once.
         longest = max(LONGEST * rules.overload_us, self.now - endpoint.since_us) * endpoint.spread
         window = int(min(max(rules.overload_us, 1 / part), longest))
         units = max(1, int(part * window))
         return self.now if len(endpoint.starts) < units else max(self.now, endpoint.starts[-units] + window)
 
+    def part(self, endpoint: Endpoint, share: float) -> float:
+        """Units a microsecond: this relay's part of what an endpoint that can do a share may be sent."""
+        account, rules = endpoint.account, self.settings
+        rate = account.pace if account.rate is None else account.rate / rules.relays
+        siblings = self.destinations[endpoint.entry.destination].endpoints.values()
+        among = sum(other.account is account for other in siblings)
+        return max(rules.overload_factor * share * rate / max(1, among) / SECOND, 1e-12)
+
     def usable(self, endpoint: Endpoint, message: Message) -> bool:
         """Whether a message may go there: zone of its key, no copy there, nothing unsafe into an outage."""
         kind = message.kind
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,109 @@
+"""Whole fleets in virtual time: drawn days break no rule, and each guard that is taken out is found."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from amberlug.cli import labs
+from amberlug.cli.main import main
+from amberlug.core.node import Node
+from amberlug.lab.days import draw
+from amberlug.lab.play import Play
+from amberlug.lab.runs import day
+from amberlug.lab.scenario import Fault, Load, Partner, Scenario, World
+from amberlug.learning.learner import Learner
+from stoatusher import decide, lasting
+from stoatusher.lasting import LastingSender
+
+RELAYS = 40  # `amberlug lab days` plays 200
+
+
+def broken(scenario: Scenario, seed: int = 1) -> list[str]:
+    return list(Play(scenario, seed).run()["broken"])
+
+
+def test_days_of_the_command_line_tell_what_broke(
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    call = ["lab", "days", "--first", "7", "--count", "1", "--relays", "10", "--jobs", "1"]
+    assert main(call) == 0
+    assert "a rule broken on 0" in capsys.readouterr().out
+    with pytest.raises(SystemExit):
+        main([*call, "--relays", "0"])
+    monkeypatch.setattr(labs, "days", lambda *_: [day(7, 10) | {"broken": ["m1: lost"]}])
+    assert main(call) == 1
+    assert "BROKEN day-7: m1: lost" in capsys.readouterr().out
+
+
+@settings(max_examples=12)
+@given(st.integers(0, 10**6))
+def test_drawn_days_break_no_rule(seed: int) -> None:
+    # Pushes are counted by `amberlug lab days`: where partners are small they can't be ruled out yet.
+    lines = broken(draw(seed, RELAYS, seconds=10.0), seed)
+    assert [it for it in lines if "pushed over" not in it] == []
+
+
+FLEET = Scenario(
+    "fleet",
+    World(seconds=9, relays=RELAYS, destinations=4, endpoints=1, list_s=0.3, uneven=0.5, network_ms=5),
+    Load(per_second=60),
+    Partner(rate=40.0, wait_ms=900, tells_wait=0.9, answer_ms=80),
+)
+KILLED = Fault("kill", 2.0, relays=28, over=1.0), Fault("kill", 4.5, relays=12, over=0.5)
+
+
+def _nothing(*_: Any) -> None:
+    return None
+
+
+def _always(*_: Any) -> bool:
+    return True
+
+
+def _at_once(sender: LastingSender, _endpoint: object) -> int:
+    return sender.now
+
+
+SLOW = replace(FLEET.partner, answer_ms=700)
+# What is found; which guards are taken out, and what stands in their place; the day.
+SPOILT: list[tuple[str, list[tuple[object, str]], Callable[..., Any], Scenario]] = [
+    ("drains", [(Node, "current")], _nothing, replace(
+        FLEET, faults=(Fault("deaf", 0.5, 20, relays=RELAYS), Fault("drain", 1.0, destinations=4)))),
+    ("told wait", [(Learner, "told")], _nothing, replace(
+        FLEET, partner=replace(FLEET.partner, wait_ms=2500), load=Load(per_second=200), faults=KILLED)),
+    ("lost", [(Node, "_resume")], _nothing, replace(FLEET, partner=SLOW, faults=KILLED)),
+    ("may have run", [(decide, "may_repeat"), (lasting, "may_repeat")], _always, replace(
+        FLEET, partner=SLOW, faults=KILLED)),
+    ("may have run", [(decide, "may_repeat")], _always, replace(
+        FLEET, partner=replace(FLEET.partner, lost=0.2))),
+    ("pushed over", [(decide.Sender, "cold_opening")], _at_once, replace(
+        FLEET, partner=replace(FLEET.partner, concurrency=2), faults=(Fault("down", 2.0, 4.0, 1),))),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("number", range(len(SPOILT)))
+def test_a_guard_that_is_taken_out_is_found(number: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    what, guards, instead, scenario = SPOILT[number]
+    assert broken(scenario) == []
+    for of, name in guards:
+        monkeypatch.setattr(of, name, instead)
+    assert any(what in line for line in broken(scenario))
+
+
+def test_two_hundred_at_one_cold_endpoint_stay_under_what_it_can_take() -> None:
+    """With and without seven in ten that are restarted while it is down, and forget what they do not keep."""
+    scenario = Scenario(
+        "cold",
+        World(seconds=10, relays=200, destinations=1, endpoints=1, uneven=0.8, network_ms=10),
+        Load(per_second=40),
+        Partner(rate=50.0, answer_ms=100, concurrency=8, pace_spread=0.0),
+    )
+    down = Fault("down", 2.0, 5.0)
+    for faults in ((down,), (down, Fault("kill", 4.0, relays=140, over=1.0))):
+        assert broken(replace(scenario, faults=faults)) == []
