--- a/amberlug/library/endpoints.py
+++ b/amberlug/library/endpoints.py
@@ -154,8 +154,8 @@
     """Guard against an error that can't be: a host's list is checked before its news are told."""
 
 
-def _unasked() -> None:
-    """A host's list has no bound on its age."""
+def _unheeded(seconds: float) -> None:
+    """Where nobody asks how old the list may be."""
 
 
 class Discovery:
@@ -164,13 +164,21 @@
     def __init__(self, where: str, known: News | None = None) -> None:
         self._where, self._known = address(where), known
         self._watch: Watch | None = None
+        self._current: Callable[[float], None] = _unheeded
+
+    def confirms(self, current: Callable[[float], None]) -> None:
+        """Have told that the list is the newest, with the seconds for which calls may go by it."""
+        self._current = current
 
     def start(self, settings: Settings, listed: Listed) -> None:
         if self._known is not None:
             apply(listed(self._known))
         revision = self._known.revision if self._known is not None else 0
         pauses = Pauses(settings.relays, settings.drain_grace_us / SECOND)
-        self._watch = Watch(self._where, settings.kinds, revision, listed, pauses, _unasked)
+        self._current(pauses.good_at_first(away=True))
+        self._watch = Watch(
+            self._where, settings.kinds, revision, listed, pauses, lambda: self._current(pauses.good_for())
+        )
         self._watch.start()
 
     def stop(self) -> None:
--- a/amberlug/library/relay.py
+++ b/amberlug/library/relay.py
@@ -24,7 +24,7 @@
 from amberlug.learning import SHARE, open_learning
 from amberlug.library.claims import CLAIMS, Claim
 from amberlug.library.desk import Desk, OnEnd
-from amberlug.library.endpoints import Endpoints
+from amberlug.library.endpoints import Discovery, Endpoints
 from amberlug.library.lag import Lag
 from amberlug.library.messages import (
     AcknowledgedError,
@@ -145,6 +145,8 @@
                 self.settings, self._seed, self._journal, self._learning, self._transport, self._desk,
                 self._clock, observer,
             )  # fmt: skip
+            if isinstance(self._endpoints, Discovery):
+                self._endpoints.confirms(self._node.current)
             self._endpoints.start(self.settings, self._node.listing)
             stack.callback(self._endpoints.stop)
             for held in list(self._journal.held.values()):
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -13,12 +13,14 @@
 import pytest
 
 from amberlug.core.journal.threads import ThreadSyncer
+from amberlug.core.listing import read_line
 from amberlug.core.messages import Refusal
 from amberlug.library import (
     AcknowledgedError,
     BadMessageError,
     BlockingRelay,
     Call,
+    Discovery,
     Durability,
     End,
     Endpoint,
@@ -37,9 +39,10 @@
     settings,
 )
 from amberlug.library.claims import CLAIMS
-from amberlug.standin.wire import PATIENCE, StandIn
+from amberlug.platform.pauses import Pauses
+from amberlug.standin.wire import PATIENCE, Platform, StandIn
 from tests.hosts import ONE, SETTINGS, Partner, forever, host, lines, message, relay_on
-from tests.rig import member, run
+from tests.rig import member, news, run
 
 DELIVERED, HANDED_BACK, GIVEN_UP = Outcome.DELIVERED, Outcome.HANDED_BACK, Outcome.GIVEN_UP
 
@@ -70,6 +73,28 @@
     run(scenario())
 
 
+def test_a_list_that_discovery_has_not_confirmed_for_too_long_is_not_gone_by(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for name in ("good_for", "good_at_first"):
+        monkeypatch.setattr(Pauses, name, lambda *_, **__: 0.0)
+
+    async def scenario() -> None:
+        endpoint, platform = await StandIn().start(), Platform()
+        await platform.start()
+        known = read_line(news(member(endpoint.port, "e0"), complete=True), SETTINGS.kinds)
+        where = Discovery(f"127.0.0.1:{platform.port}", known)
+        async with Relay(SETTINGS, tmp_path, where, seed=1) as relay:
+            await platform.watched(1)
+            with pytest.raises(RefusedError):
+                await relay.hand_in(message("m1"))
+        assert endpoint.seen == []
+        for peer in (endpoint, platform):
+            await peer.stop()
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     ("answer", "kind", "outcome", "calls"),
     [
