--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import fields, replace
 from typing import Any
 
 import pytest
@@ -13,6 +14,7 @@
 from amberlug.cli import labs
 from amberlug.cli.main import main
 from amberlug.core.node import Node
+from amberlug.lab.clock import SECOND
 from amberlug.lab.days import draw
 from amberlug.lab.play import Play
 from amberlug.lab.runs import day
@@ -20,6 +22,7 @@
 from amberlug.learning.learner import Learner
 from stoatusher import decide, lasting
 from stoatusher.lasting import LastingSender
+from stoatusher.state import Records
 
 RELAYS = 40  # `amberlug lab days` plays 200
 
@@ -127,3 +130,26 @@
     assert herd["lives"] > 340
     assert herd["calls refused"] <= quiet["calls refused"] + 0.2 * herd["messages"]
     assert herd["service"] > quiet["service"] - 0.12
+
+
+def held(relay: Any) -> dict[str, int]:
+    """How much each container of a relay's core holds."""
+    found = {}
+    for of in (relay.node, relay.node._sender, relay.node._journal, relay.node._learning):
+        names = {*getattr(of, "__dict__", ()), *(it.name for it in fields(Records) if hasattr(of, it.name))}
+        for name in names:
+            value = getattr(of, name)
+            if isinstance(value, dict | set | list | deque):
+                found[f"{type(of).__name__}.{name}"] = len(value)
+    return found
+
+
+def test_nothing_grows_with_messages_of_ever_new_ids_and_keys() -> None:
+    world = World(seconds=60, relays=1, destinations=5, slots=40)
+    play, seen = Play(Scenario("long", world, Load(per_second=200), Partner(answer_ms=40)), 1), []
+    for at_s in (25, 58):
+        play.time.after(at_s * SECOND, lambda: seen.append(held(play.relays[0])))
+    assert play.run()["messages"] > 11_000
+    early, late = seen
+    assert set(early) == set(late)
+    assert {name: (early[name], late[name]) for name in early if late[name] > 1.5 * early[name] + 50} == {}
