--- a/amberlug/lab/relay.py
+++ b/amberlug/lab/relay.py
@@ -119,7 +119,7 @@
         self.node.listed(News(self._known, 1, True))
         self.node.current(self._pauses.good_at_first(self.lives > 1))
         if self._time.us >= self.deaf_until_us:
-            self._confirm(clock)
+            self._confirm()
         self.node.restore()
         self.up = True
         self._clock.at(self._time.us + CONFIRMS_US, self._confirm_later, clock)
@@ -148,16 +148,16 @@
     def hear(self) -> None:
         """Hear the list as it is, unless discovery is out of reach."""
         if self.up and self._time.us >= self.deaf_until_us:
-            self._confirm(self._clock)
+            self._confirm()
 
-    def _confirm(self, clock: LifeClock) -> None:
+    def _confirm(self) -> None:
         self._known = self._listed()
         self.node.listed(News(self._known, 2, True))
         self.node.current(self._pauses.good_for())
 
     def _confirm_later(self, clock: LifeClock) -> None:
         if self._time.us >= self.deaf_until_us:
-            self._confirm(clock)
+            self._confirm()
         clock.at(self._time.us + CONFIRMS_US, self._confirm_later, clock)
 
     def kill(self) -> None:
