--- a/amberlug/http/link.py
+++ b/amberlug/http/link.py
@@ -86,15 +86,19 @@
         headers: Headers,
         body: bytes = b"",
         sink: Callable[[bytes], None] | None = None,
+        host: str = "",
     ) -> asyncio.Future[Reply]:
-        """Write a request; the body of a 200 goes to `sink` as it comes, if there is one."""
+        """Write a request; the body of a 200 goes to `sink` as it comes, if there is one.
+
+        Without a `host` it names the endpoint's own address.
+        """
         self._waiter = asyncio.get_running_loop().create_future()
         if not self.usable or self._transport is None:
             self._waiter.set_exception(LinkLostError(written=False))
             return self._waiter
         self._reply, self._sink, self._said = None, sink, b""
         peer = self._transport.get_extra_info("peername")
-        head = [("Host", f"{peer[0]}:{peer[1]}"), *headers, ("Content-Length", str(len(body)))]
+        head = [("Host", host or f"{peer[0]}:{peer[1]}"), *headers, ("Content-Length", str(len(body)))]
         parts = [
             self._http.send(h11.Request(method=method, target=target, headers=head)),
             self._http.send(h11.Data(data=body)) if body else b"",
--- /dev/null
+++ b/workshop/belt/__init__.py
@@ -0,0 +1,1 @@
+"""Between the system's own processes: netstrings of JSON over TCP."""
--- /dev/null
+++ b/workshop/lathe/spread.py
@@ -0,0 +1,267 @@
+"""Copies at stores: a message is held once enough have it, an end is told until they know. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from functools import partial
+
+from result import Err, Ok, Result
+
+from workshop.lathe.message import Message
+from workshop.ports import Handle, Json, Lost, Reply, World
+from workshop.settings import Tolerance
+
+HEDGE_S = 0.03  # for a store to answer until a further one is asked as well
+PUT_S = 1.2  # for enough stores to hold a message
+SUSPECT_S = 1.0  # a silent store is asked last for so long
+FULL_S = 3.0
+MARK_S = 0.02  # ends are gathered for so long
+MARK_ANSWER_S = 0.5
+AGAIN_S = 0.3  # between tries to tell a store that does not answer
+MARKS = 512  # in one message
+
+
+class Put(Enum):
+    """What came of keeping a message."""
+
+    HELD = "held"
+    FENCED = "fenced"  # another owner has the shard: it may find what some store took
+    UNCLEAR = "unclear"  # some store may have it
+    REFUSED = "refused"  # no store was reached: it is surely nowhere
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAt:
+    """A store of the roster."""
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    state: str
+    disk: str
+
+    @property
+    def place(self) -> tuple[str, str]:
+        return self.zone, self.region
+
+
+class Spread:
+    """The stores, as an owner of shards uses them."""
+
+    def __init__(self, world: World, tolerance: Tolerance, zone: str, region: str) -> None:
+        self.world, self.tolerance, self.zone, self.region = world, tolerance, zone, region
+        self.stores: dict[str, StoreAt] = {}
+        self._suspect: dict[str, float] = {}
+        self._marks: dict[str, dict[str, list[object]]] = {}  # by store: ends that it has not acknowledged
+        self._telling: set[str] = set()
+        self.hedges = 0
+
+    def roster_is(self, roster: Json) -> None:
+        """Take the stores of the roster."""
+        self.stores = {
+            name: StoreAt(name, it["addr"], it["zone"], it["region"], it["state"], it["disk"])
+            for name, it in roster.items()
+            if it["state"] != "gone"
+        }
+        for name in set(self._marks) - set(self.stores):
+            del self._marks[name]
+
+    def enough(self, names: set[str]) -> bool:
+        """Whether copies at these stores outlast what may be lost."""
+        return self.tolerance.holds([self.stores[name].place for name in names if name in self.stores])
+
+    def knows_all(self, heard: set[str]) -> bool:
+        """Whether these stores tell of every message that is held: the others can't hold one alone."""
+        counted = {name for name in heard if name in self.stores and self.stores[name].state != "filling"}
+        return bool(counted) and not self.enough(set(self.stores) - counted)
+
+    def reachable(self) -> bool:
+        """Whether a message could be held now."""
+        now = self.world.now()
+        return self.enough({it for it in self._writable() if self._suspect.get(it, 0.0) <= now})
+
+    def _writable(self) -> list[str]:
+        return [name for name, it in self.stores.items() if it.state in ("full", "filling")]
+
+    def suspect(self, name: str, seconds: float) -> None:
+        self._suspect[name] = max(self._suspect.get(name, 0.0), self.world.now() + seconds)
+
+    def broken(self, address: str) -> None:
+        """The connection with a process ended."""
+        for name, it in self.stores.items():
+            if it.address == address:
+                self.suspect(name, 0.3)
+
+    def _ranked(self, message: Message) -> list[str]:
+        now = self.world.now()
+        names = sorted(self._writable())
+        turn = (message.shard + message.order[1]) % max(1, len(names))
+        names = names[turn:] + names[:turn]
+        return sorted(
+            names,
+            key=lambda name: (
+                self._suspect.get(name, 0.0) > now,
+                self.stores[name].zone != self.zone,
+                self.stores[name].region != self.region,
+            ),
+        )
+
+    def put(self, message: Message, epoch: int, then: Callable[[Put], None]) -> None:
+        """Have enough stores hold a message."""
+        _Putting(self, message, epoch, self._ranked(message), then).begin()
+
+    # -- ends
+
+    def mark(self, message: Message, end: str, seal: str) -> None:
+        """Have the stores know how a message ended."""
+        row = [message.id, message.shard, end, seal, round(self.world.wall(), 3)]
+        holders = {name for name in message.holders if name in self.stores}
+        for name in self._ranked(message):
+            if self.enough(holders):
+                break
+            holders.add(name)
+        for name in holders:
+            if not self._marks.get(name) and name not in self._telling:
+                self.world.later(MARK_S, partial(self._tell, name))
+            self._marks.setdefault(name, {})[message.id] = row
+
+    def unmarked(self) -> dict[str, list[object]]:
+        """Ends that some store has not acknowledged."""
+        return {name: row for rows in self._marks.values() for name, row in rows.items()}
+
+    @property
+    def telling(self) -> int:
+        return sum(len(rows) for rows in self._marks.values())
+
+    def _tell(self, name: str) -> None:
+        store, waiting = self.stores.get(name), self._marks.get(name)
+        if store is None or not waiting or name in self._telling:
+            return
+        self._telling.add(name)
+        rows = list(waiting.values())[:MARKS]
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            self._telling.discard(name)
+            if isinstance(reply, Ok) and reply.ok_value.body.get("ok"):
+                left = self._marks.get(name, {})
+                for row in rows:
+                    left.pop(str(row[0]), None)
+                if left:
+                    self.world.later(MARK_S, lambda: self._tell(name))
+                return
+            self._cover(name, rows)
+            self.world.later(AGAIN_S, lambda: self._tell(name))
+
+        self.world.ask(store.address, "marks", {"marks": rows}, MARK_ANSWER_S, hear)
+
+    def _cover(self, silent: str, rows: list[list[object]]) -> None:
+        """A store does not answer: another one is told as well, so that enough of them know."""
+        now = self.world.now()
+        self.suspect(silent, AGAIN_S)
+        for name in self._writable():
+            if name != silent and self._suspect.get(name, 0.0) <= now:
+                mine = self._marks.setdefault(name, {})
+                mine.update({str(row[0]): row for row in rows if str(row[0]) not in mine})
+                self.world.later(0.0, partial(self._tell, name))
+                break
+
+
+class _Putting:
+    """One message on its way to enough stores."""
+
+    def __init__(
+        self, spread: Spread, message: Message, epoch: int, ranked: list[str], then: Callable[[Put], None]
+    ) -> None:
+        self.spread, self.message, self.epoch, self.left, self.then = spread, message, epoch, ranked, then
+        self.asked: set[str] = set()
+        self.waiting: set[str] = set()
+        self.over = False
+        self.unclear = False
+        self.timer: Handle | None = None
+        self.until = spread.world.now() + PUT_S
+        self.body = {
+            "id": message.id,
+            "shard": message.shard,
+            "epoch": epoch,
+            "seq": message.order[1],
+            "meta": message.meta(),
+        }
+
+    def begin(self) -> None:
+        if not self.spread.enough(set(self.left)):
+            self._end(Put.REFUSED)
+            return
+        while not self.over and not self.spread.enough(self.asked):
+            # A store that adds no further place is passed over until it is needed.
+            place = next((it for it in self.left if not self._adds_nothing(it)), None) or self.left[0]
+            self._ask(place)
+        self._watch()
+
+    def _adds_nothing(self, name: str) -> bool:
+        tolerance = self.spread.tolerance
+        if tolerance.zones == 0 and tolerance.regions == 0:
+            return False
+        places = {self.spread.stores[it].zone for it in self.asked}
+        return self.spread.stores[name].zone in places
+
+    def _watch(self) -> None:
+        if not self.over:
+            self.timer = self.spread.world.later(HEDGE_S, self._hedge)
+
+    def _hedge(self) -> None:
+        if self.over:
+            return
+        if self.spread.world.now() >= self.until:
+            self._end(Put.UNCLEAR)
+            return
+        for name in self.waiting:
+            self.spread.suspect(name, HEDGE_S)
+        if self.left:
+            self.spread.hedges += 1
+            self._ask(self.left[0])
+        self._watch()
+
+    def _ask(self, name: str) -> None:
+        self.left.remove(name)
+        self.asked.add(name)
+        self.waiting.add(name)
+        store = self.spread.stores[name]
+        body = self.message.body
+        assert body is not None, "a message is kept with its body"
+        within = max(0.05, self.until - self.spread.world.now())
+        self.spread.world.ask(
+            store.address, "put", self.body, within, lambda reply: self._hear(name, reply), body
+        )
+
+    def _hear(self, name: str, reply: Result[Reply, Lost]) -> None:
+        self.waiting.discard(name)
+        if isinstance(reply, Err):
+            self.unclear |= reply.err_value is not Lost.UNSENT
+            self.spread.suspect(name, 0.3 if reply.err_value is not Lost.SILENT else SUSPECT_S)
+        elif reply.ok_value.body.get("ok"):
+            self.message.holders.add(name)
+        elif reply.ok_value.body.get("fenced"):
+            self._end(Put.FENCED)
+        else:
+            self.spread.suspect(name, FULL_S)
+        if self.over:
+            return
+        if self.spread.enough(self.message.holders):
+            self._end(Put.HELD)
+        elif not self.spread.enough(self.message.holders | self.waiting):
+            if self.left:
+                self._ask(self.left[0])
+            elif not self.waiting:
+                sure = not self.unclear and not self.message.holders
+                self._end(Put.REFUSED if sure else Put.UNCLEAR)
+
+    def _end(self, put: Put) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.then(put)
--- /dev/null
+++ b/workshop/machine/core.py
@@ -0,0 +1,551 @@
+"""A core machine: a member of the log, a control relay, and the leader's duties while it leads. No I/O."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+from result import Err, Ok, Result
+
+from workshop.crib.cell import DRAINING, GONE, MOST, Cell, read_announce
+from workshop.crib.check import changed, check, parse
+from workshop.crib.orders import Asked, Counter, Said, Say, order
+from workshop.crib.sessions import BEAT_S, Sessions
+from workshop.machine.member import internal
+from workshop.ports import Disk, Json, Lost, Reply, Respond, World, on, words_of
+from workshop.settings import Settings
+from workshop.vise.agree import NotTaken, Role, Saved, Vise
+from workshop.vise.book import SHARDS, Book, digest
+from workshop.vise.sharing import share_out
+from workshop.whistle.news import News
+
+DUTY_S = 0.1  # between looks at what is to be done while leading
+SETTLED_S = 1.5  # a new leader waits so long for reports before it calls anyone gone
+GONE_S = 0.15  # without a session until a member's shards are given to others
+GATHER_S = 0.4  # without a new member until those who came are given shards
+ORDER_S = 0.9  # for an order to be carried out: callers wait a second
+JOIN_S = 0.3  # between a core machine's tries to be a member
+STORE = "storage"
+
+
+def founding(settings: Settings) -> Json:
+    """The members that found the log: the seeds of the first start, each in its first incarnation."""
+    return {
+        f"{host}/0": {"addr": to, "voter": True, "name": "", "zone": "", "control": f"{host}:{port}"}
+        for (host, port), to in zip(settings.seeds, internal(settings), strict=True)
+    }
+
+
+def blank(settings: Settings, chance: Callable[[int], int]) -> Saved:
+    """What an empty disk starts with: a founder at the first start, else one that must be let in."""
+    members = founding(settings) if settings.first_start else {}
+    me = f"{settings.ip}/0"
+    if me not in members:
+        me = f"{settings.ip}/{chance(48):x}"
+    return Saved(me, members=members)
+
+
+class Core:
+    """One core machine."""
+
+    def __init__(self, world: World, settings: Settings, address: str, disk: Disk, saved: Saved) -> None:
+        self.world, self.settings, self.address = world, settings, address
+        self.book, self.sessions = Book(), Sessions()
+        self.news = News(world, self._others, lambda key, value: None, pass_on=1 << 16)
+        self.cell = Cell(world, self.news, settings.heartbeat_s)
+        self.vise = Vise(
+            world, disk, saved, self._apply, self.book.to_json, self.book.from_json, self._changed
+        )  # fmt: skip
+        self.counter = Counter(self)
+        self.words = {**words_of(self), **words_of(self.vise), **words_of(self.news)}
+        self.counts: dict[str, int] = {}
+        self._led = ""
+        self._busy: set[str] = set()  # duties under way
+        self._missing: dict[str, float] = {}  # when an owner was first seen without a session
+        self._first_seen: dict[str, float] = {}
+        self._waits: list[tuple[int, Callable[[], None]]] = []  # for an index to be applied
+
+    def begin(self) -> None:
+        self.vise.begin()
+        self._changed()
+        self.news.begin()
+        self._tick()
+        self._duty()
+        self._join()
+
+    def leave(self) -> None:
+        """A planned end: another one leads from now on."""
+        self.vise.hand_over()
+
+    def stop(self) -> None:
+        self.vise.stop()
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    # -- what is agreed becomes news
+
+    def _apply(self, index: int, command: Json) -> Json:
+        return self.book.apply(index, command)
+
+    def _changed(self) -> None:
+        book, offer = self.book, self.news.offer
+        if book.config is not None:
+            offer("config", [book.config_at], book.config)
+        if book.shards:
+            offer("shards", [book.shards_at], self._shards())
+        if book.roster:
+            offer("roster", [book.roster_at], book.roster)
+        if self.vise.members_at <= self.vise.commit:
+            offer("cores", [self.vise.members_at], self.vise.members)
+        for name, (rank, sequence) in book.drains.items():
+            known = self.cell.known(name)
+            if known is None or known[0] < [rank, sequence, 0]:
+                self.cell.leaves(name, rank, sequence, None)
+        if self.vise.leader != self._led:
+            self._led = self.vise.leader
+            logging.info("term %d is led by %s", self.vise.term, self._led or "nobody")
+        waits, self._waits = self._waits, []
+        for index, act in waits:
+            if index <= self.vise.applied:
+                act()
+            else:
+                self._waits.append((index, act))
+
+    def _shards(self) -> Json:
+        ids = sorted(self.book.owners)
+        place = {name: at for at, name in enumerate(ids)}
+        return {
+            "owners": [[name, self.book.owners[name]] for name in ids],
+            "shards": [
+                [place.get(str(it[0]), -1), it[1], place.get(str(it[2]), -1)] for it in self.book.shards
+            ],
+        }
+
+    def _cores(self) -> list[str]:
+        return [it["addr"] for name, it in self.vise.members.items() if name != self.vise.me]
+
+    def _others(self) -> list[str]:
+        return self._cores() + [it.address for it in self.sessions.own.values()]
+
+    # -- sessions
+
+    @on("hello")
+    def on_hello(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        session = self.sessions.hello(body, self.world.now())
+        logging.info("session of %s begins", session.id)
+        respond({"ok": True}, b"")
+        self._tell_sessions()
+
+    @on("beat")
+    def on_beat(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        known = self.sessions.own.get(body["name"])
+        was = known.state if known is not None else ""
+        ok = self.sessions.beat(body, self.world.now())
+        respond({"ok": ok}, b"")
+        if ok and was != body["state"]:
+            self._tell_sessions()
+
+    @on("newest")
+    def on_newest(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Give all news once they are known to be as new as a majority's."""
+
+        def give(index: int | None) -> None:
+            if index is None:
+                respond({"ok": False}, b"")
+                return
+
+            def act() -> None:
+                respond({"ok": True, "items": self.news.everything()}, b"")
+
+            if index <= self.vise.applied:
+                act()
+            else:
+                self._waits.append((index, act))
+
+        self._confirm(give)
+
+    def _confirm(self, then: Callable[[int | None], None]) -> None:
+        if self.vise.role is Role.LEADER:
+            self.vise.confirm(then)
+            return
+        leader = self._leader_address()
+        if leader is None:
+            then(None)
+            return
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            then(reply.ok_value.body.get("index") if isinstance(reply, Ok) else None)
+
+        self.world.ask(leader, "core.confirm", {}, ORDER_S, hear)
+
+    @on("core.confirm")
+    def on_confirm(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        self.vise.confirm(lambda index: respond({"index": index}, b""))
+
+    def settings_are(self, settings: Settings) -> None:
+        """Take a settings file that has changed."""
+        self.settings = settings
+
+    def broken(self, address: str) -> None:
+        """The connection with a process ended."""
+        over = self.sessions.broken(address)
+        for session in over:
+            logging.info("session of %s ended: its connection is closed", session.id)
+        if over:
+            self._tell_sessions()
+
+    def _tick(self) -> None:
+        self.world.later(BEAT_S, self._tick)
+        for session in self.sessions.sweep(self.world.now()):
+            logging.info("session of %s ended: it is silent", session.id)
+        self._tell_sessions()
+        self.cell.sweep(lambda name: logging.info("endpoint %s is silent", name))
+
+    def _tell_sessions(self) -> None:
+        body = {"rows": self.sessions.report(self.world.now()), "seen": self.cell.report()}
+        for to in self._cores():
+            self.world.tell(to, "sessions", body)
+
+    @on("sessions")
+    def on_sessions(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        self.sessions.told(origin, body["rows"], self.world.now())
+        self.cell.heard_elsewhere(body["seen"])
+
+    # -- membership of the core
+
+    def _join(self) -> None:
+        """Have the leader know this machine as it is now."""
+        self.world.later(JOIN_S, self._join)
+        mine = self.vise.members.get(self.vise.me)
+        told = self._self_told()
+        if mine is not None and {**mine, "voter": None} == {**told, "voter": None}:
+            return
+        body = {"id": self.vise.me, "member": told}
+        if self.vise.role is Role.LEADER:
+            self._let_in(body)
+            return
+        leader = self._leader_address()
+        addresses = [leader] if leader else [it for it in internal(self.settings) if it != self.address]
+        if addresses:
+            self.world.tell(self.world.chance.choice(addresses), "core.join", body)
+
+    def _self_told(self) -> Json:
+        control = self.settings.control
+        return {
+            "addr": self.address,
+            "voter": False,
+            "name": self.settings.name,
+            "zone": self.settings.zone,
+            "control": f"{control[0]}:{control[1]}" if control else "",
+        }
+
+    @on("core.join")
+    def on_join(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        if self.vise.role is Role.LEADER:
+            self._let_in(body)
+        elif (leader := self._leader_address()) is not None and not body.get("passed"):
+            self.world.tell(leader, "core.join", {**body, "passed": True})
+
+    def _let_in(self, body: Json) -> None:
+        """Put a machine into the membership: what it was before goes first, and it learns."""
+        name, told = body["id"], body["member"]
+        members = self.vise.members
+        old = [it for it, member in members.items() if it != name and member["addr"] == told["addr"]]
+        if old:
+            rest = {it: member for it, member in members.items() if it != old[0]}
+            if any(member["voter"] for member in rest.values()):
+                self._members(rest, f"{old[0]} came back as {name}")
+            return
+        member = {**told, "voter": members.get(name, {}).get("voter", False)}
+        if members.get(name) != member:
+            self._members({**members, name: member}, f"{name} is let in")
+
+    def _members(self, members: Json, why: str) -> None:
+        if "members" in self._busy or self.vise.members_at > self.vise.commit:
+            return
+        self._busy.add("members")
+
+        def done(result: Result[Json, NotTaken]) -> None:
+            self._busy.discard("members")
+            if isinstance(result, Ok):
+                logging.info("core members: %s", why)
+
+        self.vise.change_members(members, done)
+
+    def _leader_address(self) -> str | None:
+        member = self.vise.members.get(self.vise.leader)
+        return None if member is None or self.vise.leader == self.vise.me else str(member["addr"])
+
+    def _promote(self) -> None:
+        """As many voters as outlast what may be lost, an odd number; a silent one gives way to another."""
+        tolerance = self.settings.tolerance
+        wanted = max(3, 2 * max(tolerance.machines, tolerance.zones, tolerance.regions) + 1)
+        members, voters = self.vise.members, self.vise.voters
+        ready = [
+            name
+            for name, it in members.items()
+            if not it["voter"] and self.vise.caught_up(name) and self.vise.silent_s(name) < 1.0
+        ]
+        silent = [name for name in voters if self.vise.silent_s(name) > self.settings.seconds("catchUpS")]
+        if ready and (len(voters) < wanted or (silent and len(voters) == wanted)):
+            name = min(ready)
+            self._members({**members, name: {**members[name], "voter": True}}, f"{name} votes")
+        elif len(voters) > wanted:
+            name = min(silent or [it for it in voters if it != self.vise.me])
+            self._members({**members, name: {**members[name], "voter": False}}, f"{name} votes no more")
+
+    # -- duties of the leader
+
+    def _duty(self) -> None:
+        self.world.later(DUTY_S, self._duty)
+        now = self.world.now()
+        if self.vise.role is not Role.LEADER or self.vise.term_at(self.vise.commit) != self.vise.term:
+            self._missing.clear()
+            self._first_seen.clear()
+            return
+        self._promote()
+        members = self.sessions.members(now)
+        for session in members.values():
+            self._first_seen.setdefault(session.id, now)
+            if session.machine_class == STORE:
+                self._enrol(session.name, session.extra, session.address, session.zone, session.region)
+        self._deal({it.id: it for it in members.values() if it.machine_class == "edge"}, now)
+
+    def _enrol(self, name: str, extra: Json, address: str, zone: str, region: str) -> None:
+        known = self.book.roster.get(name)
+        store = {"disk": extra["disk"], "addr": address, "zone": zone, "region": region, "state": "full"}
+        if known is not None:
+            store["state"] = known["state"]
+            if known["disk"] != extra["disk"]:
+                # Guards against an emptied disk that counts as one that would know.
+                store["state"] = "filling"
+        if known != store:
+            self._propose("store " + name, {"do": "store", "name": name, "store": store})
+
+    def _deal(self, edges: dict[str, Any], now: float) -> None:
+        live = [name for name, it in edges.items() if it.state == "up"]
+        if not live or "give" in self._busy:
+            return
+        owners = [str(it[0]) for it in self.book.shards]
+        held = set(owners)
+        settled = now - self.vise.led_since > SETTLED_S
+        gone = []
+        for name in held:
+            if name in edges:
+                self._missing.pop(name, None)
+                if edges[name].state != "up":
+                    gone.append(name)
+            elif name and now - self._missing.setdefault(name, now) >= GONE_S and settled:
+                gone.append(name)
+        fresh = [name for name in live if name not in held]
+        newest = max((self._first_seen[name] for name in fresh), default=0.0)
+        if gone or not owners or (fresh and now - newest > GATHER_S):
+            if not owners and now - newest < GATHER_S:
+                return
+            stay = [name for name in held if name and name not in gone and name not in live]
+            give = share_out(owners, live + stay, len(owners) or SHARDS)
+            give = {name: numbers for name, numbers in give.items() if numbers}
+            if not give:
+                return
+            known = {name: self.book.owners[name] for name in held if name in self.book.owners}
+            for name, it in edges.items():
+                known[name] = {"name": it.name, "addr": it.address, "zone": it.zone, "region": it.region}
+            for name in gone:
+                if name not in edges:
+                    known.pop(name, None)
+            logging.info("shards: %s", {name: len(numbers) for name, numbers in give.items()})
+            self._propose("give", {"do": "give", "owners": known, "give": give})
+
+    def _propose(self, duty: str, command: Json) -> None:
+        if duty in self._busy:
+            return
+        self._busy.add(duty)
+        self.vise.propose(command, lambda result: self._busy.discard(duty))
+
+    # -- orders
+
+    def _order(self, word: str, body: Json, then: Callable[[Result[Json, NotTaken]], None]) -> None:
+        """Have the leader carry out an order, here or elsewhere."""
+        if self.vise.role is Role.LEADER:
+            self._carry(word, body, then)
+            return
+        leader = self._leader_address()
+        if leader is None:
+            then(Err(NotTaken.ELSEWHERE))
+            return
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            said = reply.ok_value.body if isinstance(reply, Ok) else {}
+            if "said" in said:
+                then(Ok(said["said"]))
+            else:
+                then(Err(NotTaken.UNCLEAR if isinstance(reply, Err) else NotTaken.ELSEWHERE))
+
+        self.world.ask(leader, "core.order", {"word": word, "body": body}, ORDER_S, hear)
+
+    @on("core.order")
+    def on_order(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        def answer(result: Result[Json, NotTaken]) -> None:
+            respond({"said": result.ok_value} if isinstance(result, Ok) else {}, b"")
+
+        if self.vise.role is Role.LEADER:
+            self._carry(body["word"], body["body"], answer)
+        else:
+            respond({}, b"")
+
+    def _carry(self, word: str, body: Json, then: Callable[[Result[Json, NotTaken]], None]) -> None:
+        if word == "drain":
+            self.vise.propose({"do": "drain", "ids": body["ids"]}, then)
+        elif word == "read":
+
+            def give(index: int | None) -> None:
+                if index is None:
+                    then(Err(NotTaken.UNCLEAR))
+                else:
+                    then(Ok({"config": self.book.config}))
+
+            self.vise.confirm(give)
+        else:
+            self._carry_config(word, body, then)
+
+    def _carry_config(self, word: str, body: Json, then: Callable[[Result[Json, NotTaken]], None]) -> None:
+        base, text = body["base"], body["data"]
+        sum_ = digest({"word": word, "base": base, "data": text})
+        edition = text.get("edition")
+        said = self.book.check_config(base, edition, sum_) if isinstance(edition, int) else {"ok": True}
+        if said.get("again"):
+            then(Ok(said))
+            return
+        if "status" in said and said["status"] == 412:
+            then(Ok(said))
+            return
+        whole = changed(self.book.config, text) if word == "modify" else Ok(text)
+        errors = whole.err_value if isinstance(whole, Err) else check(whole.ok_value)
+        if errors or "status" in said:
+            causes = errors + ([said["cause"]] if "status" in said else [])
+            then(Ok({"status": 400, "cause": "; ".join(causes[:20])}))
+            return
+        assert isinstance(whole, Ok)
+        command = {"do": "config", "base": base, "edition": edition, "sum": sum_, "config": whole.ok_value}
+        self.vise.propose(command, then)
+
+    def _config(self, word: str, asked: Asked, say: Say) -> None:
+        data = parse(asked.body)
+        if isinstance(data, Err):
+            self._count("config refused")
+            say(Said(400, {"cause": "; ".join(data.err_value)}))
+            return
+        base = asked.header("amberlug-base-version")
+        if base is None or not base.strip().isdigit():
+            say(Said(400, {"cause": "Amberlug-Base-Version: no whole number"}))
+            return
+
+        def done(result: Result[Json, NotTaken]) -> None:
+            if isinstance(result, Err):
+                # Nobody can say yet whether it is in force: the caller sends it again unchanged.
+                say(Said(503, {"cause": f"no answer of a majority: {result.err_value.value}"}, 1))
+                return
+            said = result.ok_value
+            if "status" in said:
+                self._count("config refused")
+                logging.info("configuration refused: %s", said["cause"])
+                say(Said(said["status"], {"cause": said["cause"]}))
+            else:
+                self._count("config taken")
+                logging.info("configuration %s is in force", data.ok_value.get("edition"))
+                say(Said(200, {"edition": data.ok_value.get("edition")}))
+
+        self._order(word, {"base": int(base), "data": data.ok_value}, done)
+
+    @order("POST", "/-/Configuration.Replace")
+    def replace(self, asked: Asked, name: str, say: Say) -> None:
+        """Put a whole configuration in place."""
+        self._config("replace", asked, say)
+
+    @order("POST", "/-/Configuration.Modify")
+    def modify(self, asked: Asked, name: str, say: Say) -> None:
+        """Change named items of the configuration."""
+        self._config("modify", asked, say)
+
+    @order("GET", "/-/Configuration.Read")
+    def read(self, asked: Asked, name: str, say: Say) -> None:
+        """Give the newest configuration, confirmed by a majority."""
+
+        def done(result: Result[Json, NotTaken]) -> None:
+            if isinstance(result, Err):
+                say(Said(503, {"cause": "no answer of a majority"}, 1))
+            elif result.ok_value["config"] is None:
+                say(Said(404, {"cause": "no configuration is in place yet"}))
+            else:
+                say(Said(200, result.ok_value["config"]))
+
+        self._order("read", {}, done)
+
+    @order("POST", "/-/Instances.Announce/")
+    def announce(self, asked: Asked, name: str, say: Say) -> None:
+        """An endpoint says that it is there, or that it leaves."""
+        self._count("announced")
+        data = self._small(asked, say)
+        if data is None:
+            return
+        read = read_announce(data)
+        if isinstance(read, Err):
+            say(Said(400, {"cause": read.err_value}))
+            return
+        said = read.ok_value
+        if said["condition"] == "ready":
+            self.cell.announced(name, said)
+            to = self._cell_of(said["zone"])
+            say(Said(200, {"heartbeatUri": to} if to else {}))
+        else:
+            self._leave(name, DRAINING, said["sequence"], said, say)
+
+    @order("POST", "/-/Instances.Deregister/")
+    def deregister(self, asked: Asked, name: str, say: Say) -> None:
+        """An endpoint says that it has gone."""
+        known = self.cell.known(name)
+        self._leave(name, GONE, known[0][1] if known is not None else 0, None, say)
+
+    def _small(self, asked: Asked, say: Say) -> Any:
+        if len(asked.body) > MOST:
+            say(Said(413, {"cause": f"{len(asked.body)} bytes are too many"}))
+            return None
+        try:
+            data = json.loads(asked.body)
+        except (ValueError, RecursionError):
+            say(Said(400, {"cause": "no JSON"}))
+            return None
+        if not isinstance(data, dict):
+            say(Said(400, {"cause": "no object"}))
+            return None
+        return data
+
+    def _cell_of(self, zone: str) -> str:
+        """The control address of the cell that keeps a zone's endpoints, where it lives."""
+        now = self.world.now()
+        for name, it in sorted(self.vise.members.items()):
+            if it["zone"] == zone and it["control"]:
+                here = name == self.vise.me
+                if here or self.sessions.heard_from(it["addr"], now) < 2 * BEAT_S + 0.2:
+                    return str(it["control"])
+        return ""
+
+    def _leave(self, name: str, rank: int, sequence: int, said: Json | None, say: Say) -> None:
+        """Tell all at once, and acknowledge once a majority holds it: a lost machine can't take it along."""
+        known = self.book.drains.get(name)
+        if known is not None and known[0] >= rank:
+            say(Said(200, {}))
+            return
+        self.cell.leaves(name, rank, sequence, said)
+
+        def done(result: Result[Json, NotTaken]) -> None:
+            if isinstance(result, Ok):
+                logging.info("endpoint %s %s", name, "leaves" if rank == DRAINING else "has gone")
+                say(Said(200, {}))
+            else:
+                say(Said(503, {"cause": "no answer of a majority"}, 1))
+
+        self._order("drain", {"ids": [[name, rank, sequence]]}, done)
--- /dev/null
+++ b/workshop/machine/edge.py
@@ -0,0 +1,599 @@
+"""An edge: takes messages from clients, owns shards, and dispatches what is due. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any, Protocol
+
+from absl import logging
+from result import Err, Ok, Result
+
+from workshop.crib.orders import Asked, Counter, Said, Say, order
+from workshop.hatch.routes import Route, Routes, build
+from workshop.lathe.endpoints import Pool
+from workshop.lathe.message import Message, name_of, read, shard_in, shard_of
+from workshop.lathe.rack import Rack
+from workshop.lathe.service import Service, judge
+from workshop.lathe.shards import Shards, Taken
+from workshop.lathe.spread import Spread
+from workshop.machine.member import Member, internal
+from workshop.ports import Called, Endpoints, Json, Lost, Reply, Respond, World, on, words_of
+from workshop.settings import Settings
+from workshop.vise.book import SHARDS
+from workshop.whistle.news import News
+
+OFFER_S = 0.5  # for another owner to take a message
+OFFER_AGAIN_S = 0.03
+NO_OWNER_S = 1.0  # a message waits so long for a shard to have an owner that answers
+CLIENT_S = 1.5  # that a client waits where it does not say
+ASK_S = 0.5  # for another edge or a store to say how a message stands
+ASKED_S = 1.7  # for an answer to who asks: they wait two seconds
+SWEEP_S = 1.0
+RETENTION_SLACK_S = 0.5  # clients' sends are known only by their arrival
+HELD_SHARE = 0.35  # part of the memory that bodies in hand may take
+RATE_WAIT_S = 1.0  # until a larger part of a service's rate is used: others have heard of it by then
+KEPT_BACK = frozenset(
+    (
+        "host", "content-length", "transfer-encoding", "connection", "keep-alive", "te", "trailer", "upgrade",
+        "expect", "proxy-connection", "amberlug-time-remaining", "amberlug-attempt-id", "amberlug-not-before",
+        "amberlug-target-instance", "amberlug-notify-uri",
+    )
+)  # fmt: skip
+
+
+class Request(Asked, Protocol):
+    """A client's request."""
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]: ...
+
+
+Finish = Callable[[int, Json | None, tuple[tuple[str, str], ...], bytes], None]
+
+
+class _Offer:
+    """One client's message on its way to an owner."""
+
+    def __init__(self, edge: Edge, message: Message, seconds: float, say: Callable[[Taken], None]) -> None:
+        self.edge, self.message, self.say = edge, message, say
+        now = edge.world.now()
+        self.until = now + seconds
+        self.patience = now + min(seconds, NO_OWNER_S)
+        self.unclear = False
+        self.over = False
+
+    def go(self) -> None:
+        edge, message = self.edge, self.message
+        left = self.until - edge.world.now()
+        if left <= 0 or (not self.unclear and edge.world.now() > self.patience):
+            self._end(Taken.UNCLEAR if self.unclear else Taken.REFUSED)
+            return
+        if message.shard in edge.shards.mine:
+            edge.shards.accept(message, self._said)
+            return
+        owner = edge.shards.owner_of(message.shard)
+        if owner is None or owner[0] == edge.member.id:
+            self._later()
+            return
+        body = {"id": message.id, "shard": message.shard, "meta": message.meta()}
+        data = message.body
+        assert data is not None, "a message that is offered has its body"
+        edge.world.ask(owner[1], "offer", body, min(left, OFFER_S), self._heard, data)
+
+    def _later(self) -> None:
+        self.edge.world.later(OFFER_AGAIN_S, self.go)
+
+    def _heard(self, reply: Result[Reply, Lost]) -> None:
+        if isinstance(reply, Err):
+            self.unclear |= reply.err_value is not Lost.UNSENT
+            self._later()
+        else:
+            self._said(Taken(reply.ok_value.body["taken"]))
+
+    def _said(self, taken: Taken) -> None:
+        if taken is Taken.HELD:
+            self._end(taken)
+            return
+        # What another owner had begun to keep may be found by the next: the name stays the same.
+        self.unclear |= taken is not Taken.REFUSED
+        self._later()
+
+    def _end(self, taken: Taken) -> None:
+        if not self.over:
+            self.over = True
+            self.say(taken)
+
+
+class Edge:
+    """One edge machine."""
+
+    def __init__(self, world: World, settings: Settings, address: str, endpoints: Endpoints) -> None:
+        self.world, self.settings, self.endpoints = world, settings, endpoints
+        self.routes = Routes()
+        self.news = News(world, self._others, self._heard)
+        self.member = Member(world, settings, address, "edge", self.news, lambda: {})
+        self.spread = Spread(world, settings.tolerance, settings.zone, settings.region)
+        self.pool = Pool(settings.zone, world.chance, endpoints.idle)
+        self.rack = Rack(world, self._ready)
+        self.shards = Shards(world, self.spread, self.member.id, self._take, self._release, self._settle)
+        self.shards.is_held = lambda name: name in self.rack.messages or name in self.ends
+        self.services: dict[str, Service] = {}
+        self.ends: dict[str, tuple[str, str, float]] = {}  # how messages ended, and when by the steady clock
+        self.counter = Counter(self)
+        self.words = {**words_of(self), **words_of(self.news), **words_of(self.shards)}
+        self.counts: dict[str, int] = {}
+        self.leaving = False
+        self.size = 0  # bytes of bodies in hand
+        self._orphans: set[Message] = set()  # out here, but their shard has another owner by now
+        self._parked: list[Message] = []  # of a configuration that is not here yet
+        self._was_ready = False
+        self._part, self._part_timer = 0.0, False
+
+    def begin(self) -> None:
+        self.member.begin()
+        self.news.begin()
+        self.world.later(SWEEP_S, self._sweep)
+
+    def leave(self) -> None:
+        """A planned end: shards go to others; whoever still comes is served through them."""
+        self.leaving = True
+        self.member.leave()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is owed here any more."""
+        out = any(it.calls for it in self.services.values())
+        return not (out or self.shards.mine or self.shards.putting or self.spread.telling)
+
+    def settings_are(self, settings: Settings) -> None:
+        """Take a settings file that has changed."""
+        self.settings = self.member.settings = settings
+        self.member.seeds_are(internal(settings))
+
+    def broken(self, address: str) -> None:
+        self.member.broken(address)
+        self.spread.broken(address)
+        self.shards.broken(address)
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _others(self) -> list[str]:
+        others = [str(place["addr"]) for name, place in self.shards.owners if name != self.member.id]
+        return others + ([self.member.relay] if self.member.relay else [])
+
+    # -- what is heard
+
+    def _heard(self, key: str, value: Any) -> None:
+        if key.startswith("ep/"):
+            over = self.pool.heard(key[3:], value, self.world.now())
+            if over is not None and over.state == "gone":
+                self.endpoints.forget(over.address)
+            service = self.services.get(value["service"])
+            if service is not None:
+                service.pump()
+        elif key == "config":
+            self._config_is(build(self.news.items[key][0][0], value))
+        elif key == "shards":
+            self.shards.table_is(value)
+            self._parts()
+        elif key == "roster":
+            self.spread.roster_is(value)
+        elif key == "cores":
+            self.member.cores_are(value)
+
+    def _config_is(self, routes: Routes) -> None:
+        assert routes.index > self.routes.index, "a configuration would be taken back"
+        self.routes = routes
+        logging.info("configuration %d is in force here", routes.edition)
+        for name, it in routes.services.items():
+            self.pool.fixed(name, it.fixed)
+            self._service(name)
+        for message in list(self.rack.messages.values()):
+            before = message.service
+            if self._resolve(message) and before != message.service and not message.out:
+                self.rack.again(message)
+        parked, self._parked = self._parked, []
+        for message in parked:
+            if message.id in self.rack.messages and not message.ended:
+                self._ready(message)
+        self._part = 0.0
+        self._parts()
+        for service in self.services.values():
+            service.pump()
+
+    def _service(self, name: str) -> Service:
+        service = self.services.get(name)
+        if service is None:
+            service = Service(
+                name,
+                self.world,
+                self.pool,
+                self.endpoints,
+                lambda: self.shards.edges,
+                self._timeout_s,
+                self._finished,
+            )
+            self.services[name] = service
+        destination = self.routes.services.get(name)
+        service.fixed = destination is not None and destination.fixed is not None
+        return service
+
+    def _parts(self) -> None:
+        """Each edge spends its part of a service's rate; a larger part only once the others spend less."""
+        owns = bool(self.shards.mine)
+        part = 1 / self.shards.edges if owns else 0.0
+        if part > self._part and not self._part_timer:
+            self._part_timer = True
+            self.world.later(RATE_WAIT_S, self._raise_part)
+        self._spend(min(part, self._part) if self._part else part / 4)
+
+    def _raise_part(self) -> None:
+        self._part_timer = False
+        self._spend(1 / self.shards.edges if self.shards.mine else 0.0)
+
+    def _spend(self, part: float) -> None:
+        self._part = part
+        for name, it in self.routes.services.items():
+            if name in self.services:
+                self.services[name].rate_is(it.rate, part or 0.01)
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients should be sent here."""
+        ready = (
+            not self.leaving
+            and self.member.confirmed
+            and self.routes.index > 0
+            and bool(self.shards.table)
+            and self.spread.reachable()
+        )
+        if ready != self._was_ready:
+            self._was_ready = ready
+            logging.info("ready" if ready else "not ready")
+        return ready
+
+    # -- clients
+
+    def handle(self, asked: Request, finish: Finish) -> None:
+        """Answer a request on the front."""
+        if asked.target.startswith("/-/"):
+            self.counter.take(asked, lambda said: self._say(said, finish))
+            return
+        if self.routes.index == 0:
+            self._refuse(finish, 503, "no configuration yet")
+            return
+        host = (asked.header("host") or "").partition(":")[0]
+        route = self.routes.match(host, asked.target.partition("?")[0])
+        if route is None:
+            self._count("no route")
+            finish(404, {"cause": "no route"}, (), b"")
+            return
+        self._take_in(asked, route, finish)
+
+    @staticmethod
+    def _say(said: Said, finish: Finish) -> None:
+        blob = said.body.get("blob")
+        headers = (("Retry-After", str(said.retry_after)),) if said.retry_after is not None else ()
+        if isinstance(blob, bytes):
+            finish(said.status, None, headers, blob)
+        else:
+            finish(said.status, said.body, headers, b"")
+
+    def _refuse(self, finish: Finish, status: int, cause: str) -> None:
+        """It was not taken and never will be; the client is told when to come again."""
+        self._count("refused")
+        finish(status, {"cause": cause}, (("Retry-After", "1"),), b"")
+
+    def _take_in(self, asked: Request, route: Route, finish: Finish) -> None:
+        attempt, delay = asked.header("amberlug-attempt-id"), asked.header("amberlug-not-before") or "0"
+        left = asked.header("amberlug-time-remaining")
+        if not attempt or len(attempt) > 58 or not all(it.isalnum() or it in "-_." for it in attempt):
+            finish(
+                400,
+                {"cause": "Amberlug-Attempt-Id: none, or not one of up to 58 letters, digits or -_."},
+                (),
+                b"",
+            )
+            return
+        if not delay.isdigit() or len(delay) > 12:
+            finish(400, {"cause": "Amberlug-Not-Before: no whole number of milliseconds"}, (), b"")
+            return
+        if self.size > HELD_SHARE * self.settings.memory_mb * 1e6:
+            self._refuse(finish, 429, "too much is in hand")
+            return
+        key = (asked.header("amberlug-sequence-key") or "") if route.in_sequence else ""
+        shard = self._shard_for(key)
+        if shard is None:
+            self._refuse(finish, 503, "no shard has an owner")
+            return
+        wall = self.world.wall()
+        message = Message(
+            name_of(shard, attempt), shard, attempt, asked.header("host") or "", asked.method, asked.target,
+            route.name, key, wall, wall + int(delay) / 1000,
+            tuple((name, value) for name, value in asked.headers if name not in KEPT_BACK),
+            asked.body, len(asked.body), seen=self.routes.index,
+        )  # fmt: skip
+        seconds = int(left) / 1000 if left is not None and left.isdigit() else CLIENT_S
+
+        def say(taken: Taken) -> None:
+            if taken is Taken.HELD:
+                self._count("taken")
+                finish(202, None, (("Amberlug-Message-Name", message.id),), b"")
+            elif taken is Taken.UNCLEAR:
+                self._count("unclear")
+                finish(504, {"cause": "it is not known whether the message is kept"}, (), b"")
+            else:
+                self._refuse(finish, 503, "not enough stores can be reached")
+
+        _Offer(self, message, seconds, say).go()
+
+    def _shard_for(self, key: str) -> int | None:
+        if key:
+            return shard_of(key, SHARDS)
+        serving = [number for number, it in self.shards.mine.items() if it.serving]
+        if serving:
+            return self.world.chance.choice(serving)
+        owned = [
+            number for number in range(len(self.shards.table)) if self.shards.owner_of(number) is not None
+        ]
+        return self.world.chance.choice(owned) if owned else None
+
+    @on("offer")
+    def on_offer(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Another edge's client has a message for a shard of this one."""
+        message = read(body["id"], body["shard"], 0, 0, body["meta"], blob, len(blob))
+        self._count("offered")
+        if message.seen > self.routes.index:
+            self.news.compare_with(origin)
+        self.shards.accept(message, lambda taken: respond({"taken": taken.value}, b""))
+
+    # -- messages in hand
+
+    def _take(self, message: Message) -> None:
+        if message.route not in self.routes.by_name and message.seen <= self.routes.index:
+            message.ended = True  # its route was dropped meanwhile
+            self._count("ended: dropped")
+            self._note(message.id, "dropped", "")
+            self.spread.mark(message, "dropped", "")
+            return
+        self.size += message.size
+        self._resolve(message)
+        self.rack.add(message)
+
+    def _resolve(self, message: Message) -> bool:
+        """Give a message its service by the newest configuration; one whose route was dropped ends."""
+        route = self.routes.by_name.get(message.route)
+        if route is not None:
+            message.service, message.rank = route.service, route.rank
+            return True
+        if message.seen <= self.routes.index and not message.out:
+            self._end(message, "dropped", "")
+        return False
+
+    def _ready(self, message: Message) -> None:
+        """It is due and the first of its key."""
+        route = self.routes.by_name.get(message.route)
+        if route is None:
+            if message.seen > self.routes.index:
+                self._parked.append(message)
+            else:
+                self._end(message, "dropped", "")
+        elif self._too_old(message, route):
+            self._end(message, "expired", "")
+        elif message.body is None:
+            self._fetch(message)
+        else:
+            self._service(route.service).add(message)
+
+    def _too_old(self, message: Message, route: Route) -> bool:
+        return self.world.wall() - message.taken > route.retention_s + RETENTION_SLACK_S
+
+    def _fetch(self, message: Message) -> None:
+        """Read its body from a store that has it."""
+        message.out = True
+        holders = [it for it in message.holders if it in self.spread.stores] or list(self.spread.stores)
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            if isinstance(reply, Ok) and reply.ok_value.body.get("found"):
+                message.body = reply.ok_value.blob
+                self.rack.again(message)
+            else:
+                self.world.later(OFFER_AGAIN_S, lambda: self._fetch(message) if not message.ended else None)
+
+        store = self.spread.stores[self.world.chance.choice(holders)]
+        self.world.ask(store.address, "body", {"id": message.id}, ASK_S, hear)
+
+    def _timeout_s(self, message: Message) -> float:
+        route = self.routes.by_name.get(message.route)
+        return route.expiry_s if route is not None else 1.0
+
+    def _finished(self, message: Message, called: Called) -> None:
+        """A call ended."""
+        route = self.routes.by_name.get(message.route)
+        outcome = judge(message, called, route.max_attempts if route is not None else 1)
+        self._count(f"called: {outcome.end or called.verdict.value}")
+        message.failures += outcome.failed
+        if message in self._orphans:
+            self._orphans.discard(message)
+            message.out = False
+            if outcome.end:
+                self.spread.mark(message, outcome.end, outcome.seal)
+                self._note(message.id, outcome.end, outcome.seal)
+            self.shards.outcome_elsewhere(message, outcome.end, outcome.seal, outcome.failed)
+        elif message.ended:
+            return
+        elif outcome.end:
+            message.out = False
+            self._end(message, outcome.end, outcome.seal)
+        elif outcome.again_s > 0:
+            self.world.later(outcome.again_s, lambda: self._again(message))
+        else:
+            self._again(message)
+
+    def _again(self, message: Message) -> None:
+        if message.id in self.rack.messages and not message.ended:
+            message.out = False
+            if self._resolve(message):
+                self.rack.again(message)
+
+    def _end(self, message: Message, end: str, seal: str) -> None:
+        """It has ended: the stores are told."""
+        assert not message.ended, "a message ends twice"
+        self.size -= message.size
+        self._count(f"ended: {end}")
+        self._note(message.id, end, seal)
+        self.rack.end(message)
+        self.spread.mark(message, end, seal)
+
+    def _note(self, name: str, end: str, seal: str) -> None:
+        self.ends[name] = end, seal, self.world.now()
+
+    def _settle(self, name: str, end: str, seal: str, failed: bool) -> None:
+        """The owner before tells what came of a call."""
+        message = self.rack.messages.get(name)
+        if message is None or message.ended:
+            if end and message is None:
+                self._note(name, end, seal)
+            return
+        message.out = False
+        message.failures += failed
+        if end:
+            self._end(message, end, seal)
+        else:
+            self._again(message)
+
+    def _release(self, shard: int) -> list[Message]:
+        """Let go of a shard's messages; calls that are under way go on, and their outcome is told."""
+        gone = [it for it in self.rack.messages.values() if it.shard == shard]
+        for message in gone:
+            self.rack.drop(message)
+            self.size -= message.size
+            if message.out and any(message is it.message for it in self._calls_of(message)):
+                self._orphans.add(message)
+            else:
+                message.out = False
+                message.ended = True  # here it is nobody's any more
+        return gone
+
+    def _calls_of(self, message: Message) -> list[Any]:
+        service = self.services.get(message.service)
+        return list(service.calls) if service is not None else []
+
+    def _sweep(self) -> None:
+        self.world.later(SWEEP_S, self._sweep)
+        before = self.world.now() - self.settings.seconds("statusTtlS")
+        while self.ends and next(iter(self.ends.values()))[2] < before:
+            del self.ends[next(iter(self.ends))]
+        for message in list(self.rack.messages.values()):
+            route = self.routes.by_name.get(message.route)
+            if route is not None and not message.out and self._too_old(message, route):
+                self._end(message, "expired", "")
+
+    # -- who asks for a message
+
+    @order("GET", "/-/message/")
+    def message(self, asked: Asked, name: str, say: Say) -> None:
+        """Tell how a message stands."""
+
+        def found(state: tuple[str, str] | None) -> None:
+            if state is None:
+                say(Said(503, {"cause": "it can't be known now"}, 1))
+                return
+            end, seal = state
+            if end == "none":
+                say(Said(404, {"cause": "no such message"}))
+            elif end == "done":
+                say(Said(200, {"condition": "completed", "seal": seal}))
+            else:
+                say(Said(200, {"condition": "failed" if end else "pending"}))
+
+        self._find(name, found)
+
+    def _mine(self, name: str) -> tuple[str, str] | None:
+        if name in self.rack.messages or name in self.shards.putting:
+            return "", ""
+        known = self.ends.get(name)
+        return (known[0], known[1]) if known is not None else None
+
+    def _find(self, name: str, found: Callable[[tuple[str, str] | None], None]) -> None:
+        """How a message stands: by what is in hand here, by its owner, else by enough stores."""
+        mine = self._mine(name)
+        if mine is not None:
+            found(mine)
+            return
+        owner = self.shards.owner_of(shard_in(name))
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            if isinstance(reply, Ok) and reply.ok_value.body.get("known"):
+                end, seal = reply.ok_value.body["known"]
+                found((end, seal))
+            else:
+                self._find_stored(name, self.world.now() + ASKED_S - ASK_S, found)
+
+        if owner is not None and owner[0] != self.member.id:
+            self.world.ask(owner[1], "standing", {"id": name}, ASK_S, hear)
+        else:
+            self._find_stored(name, self.world.now() + ASKED_S, found)
+
+    @on("standing")
+    def on_standing(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Another edge asks how a message stands that should be in hand here."""
+        respond({"known": self._mine(body["id"])}, b"")
+
+    def _find_stored(self, name: str, until: float, found: Callable[[tuple[str, str] | None], None]) -> None:
+        heard: set[str] = set()
+        states: list[tuple[str, str]] = []
+        over = False
+
+        def hear(store: str, reply: Result[Reply, Lost]) -> None:
+            nonlocal over
+            if over:
+                return
+            if isinstance(reply, Ok):
+                heard.add(store)
+                state = reply.ok_value.body["found"].get(name)
+                if state is not None:
+                    states.append((state[0], state[1]))
+            ended = [it for it in states if it[0]]
+            if ended or self.spread.knows_all(heard):
+                over = True
+                found(ended[0] if ended else (states[0] if states else ("none", "")))
+
+        def late() -> None:
+            nonlocal over
+            if not over:
+                over = True
+                found(None)
+
+        for store in self.spread.stores.values():
+            self.world.ask(store.address, "find", {"ids": [name]}, ASK_S, partial(hear, store.name))
+        self.world.later(min(ASK_S + 0.05, max(0.0, until - self.world.now())), late)
+
+    @order("GET", "/-/message-body/")
+    def message_body(self, asked: Asked, name: str, say: Say) -> None:
+        """Give the bytes of a message that is queued or dead."""
+        message = self.rack.messages.get(name)
+        if message is not None and message.body is not None:
+            say(Said(200, {"blob": message.body}))
+            return
+        waiting = len(self.spread.stores)
+        over = False
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            nonlocal waiting, over
+            waiting -= 1
+            if over:
+                return
+            if isinstance(reply, Ok) and reply.ok_value.body.get("found"):
+                over = True
+                say(Said(200, {"blob": reply.ok_value.blob}))
+            elif waiting == 0:
+                over = True
+                say(Said(404, {"cause": "no store has its bytes now"}))
+
+        for store in self.spread.stores.values():
+            self.world.ask(store.address, "body", {"id": name}, ASK_S, hear)
+        if not waiting:
+            say(Said(503, {"cause": "no store is known"}, 1))
--- /dev/null
+++ b/workshop/machine/member.py
@@ -0,0 +1,143 @@
+"""A member's side of its session with a control relay, for edges and stores. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from workshop.crib.sessions import BEAT_S
+from workshop.ports import Json, Lost, Reply, World
+from workshop.settings import Settings
+from workshop.whistle.news import News
+
+ANSWER_S = 0.4  # for a control relay to answer a beat
+HELLO_S = 0.8
+NEWEST_S = 1.0
+PAUSE_S = 0.1  # before the next control relay is tried
+
+
+def internal(settings: Settings) -> list[str]:
+    """The seeds' addresses for peers: all machines of a deployment use the same ports."""
+    return [f"{host}:{settings.ports.start}" for host, _ in settings.seeds]
+
+
+class Member:
+    """Keeps a session with one control relay, and finds another when that one is silent."""
+
+    def __init__(
+        self,
+        world: World,
+        settings: Settings,
+        address: str,
+        machine_class: str,
+        news: News,
+        extra: Callable[[], Json],
+    ) -> None:
+        self.world, self.settings, self.news, self._extra = world, settings, news, extra
+        self.address, self.machine_class = address, machine_class
+        self.incarnation = f"{int(world.wall() * 1000):x}{world.chance.getrandbits(16):04x}"
+        self.state = "up"
+        self.relay = ""  # the control relay that the session is with
+        self.confirmed = False  # whether the news were once as new as a majority's
+        self.changes = 0  # sessions begun
+        self._tried = 0
+        self._known: list[str] = internal(settings)
+        self._epoch = 0
+
+    @property
+    def id(self) -> str:
+        return f"{self.settings.name}/{self.incarnation}"
+
+    def begin(self) -> None:
+        self.world.chance.shuffle(self._known)
+        self._hello()
+
+    def cores_are(self, members: Json) -> None:
+        """Take the addresses of all control relays, those of the same zone first."""
+        here: list[str] = []
+        others: list[str] = []
+        for it in members.values():
+            (here if it.get("zone") == self.settings.zone else others).append(it["addr"])
+        self.world.chance.shuffle(others)
+        self._known = here + others or self._known
+
+    def seeds_are(self, seeds: list[str]) -> None:
+        """Further addresses to try."""
+        self._known += [it for it in seeds if it not in self._known]
+
+    def _body(self) -> Json:
+        return {
+            "name": self.settings.name,
+            "incarnation": self.incarnation,
+            "address": self.address,
+            "machine_class": self.machine_class,
+            "zone": self.settings.zone,
+            "region": self.settings.region,
+            "state": self.state,
+            "extra": self._extra(),
+        }
+
+    def _hello(self) -> None:
+        to = self._known[self._tried % len(self._known)]
+        self._tried += 1
+        self._epoch += 1
+        epoch = self._epoch
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            if epoch != self._epoch:
+                return
+            if isinstance(reply, Err) or not reply.ok_value.body.get("ok"):
+                self.world.later(PAUSE_S, lambda: self._hello() if epoch == self._epoch else None)
+                return
+            self.relay, self.changes = to, self.changes + 1
+            self.news.compare_with(to)
+            self.world.later(BEAT_S, lambda: self._beat(epoch))
+            if not self.confirmed:
+                self._newest(epoch)
+
+        self.world.ask(to, "hello", self._body(), HELLO_S, hear)
+
+    def _newest(self, epoch: int) -> None:
+        """Have what is known confirmed by a majority once, before clients are served."""
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            if self.confirmed or epoch != self._epoch:
+                return
+            if isinstance(reply, Ok) and reply.ok_value.body.get("ok"):
+                self.news.take(reply.ok_value.body["items"])
+                self.confirmed = True
+            else:
+                self.world.later(PAUSE_S, lambda: self._newest(epoch))
+
+        if epoch == self._epoch and not self.confirmed:
+            self.world.ask(self.relay, "newest", {}, NEWEST_S, hear)
+
+    def _beat(self, epoch: int) -> None:
+        if epoch != self._epoch:
+            return
+        sent = self.world.now()
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            if epoch != self._epoch:
+                return
+            if isinstance(reply, Err) or not reply.ok_value.body.get("ok"):
+                self.relay = ""
+                self._hello()
+                return
+            self.world.later(max(0.0, BEAT_S - (self.world.now() - sent)), lambda: self._beat(epoch))
+
+        self.world.ask(self.relay, "beat", self._body(), ANSWER_S, hear)
+
+    def broken(self, address: str) -> None:
+        """The connection with a process ended."""
+        if address == self.relay:
+            self.relay = ""
+            self._epoch += 1
+            self._hello()
+
+    def leave(self) -> None:
+        """Say at once that this member goes."""
+        self.state = "leaving"
+        if self.relay:
+            self.world.tell(self.relay, "beat", self._body())
--- /dev/null
+++ b/workshop/machine/store.py
@@ -0,0 +1,185 @@
+"""A store: keeps messages for the shards' owners, and refuses owners that are no longer. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from absl import logging
+
+from workshop.chest.drawer import Contents, Kept
+from workshop.machine.member import Member, internal
+from workshop.ports import Disk, Json, Respond, World, on, words_of
+from workshop.settings import Settings
+from workshop.whistle.news import News
+
+SWEEP_S = 2.0  # between looks for ended messages that nobody asks for any more
+WITH_BODIES = 1 << 20  # bytes of bodies that go along with what a new owner reads
+
+
+class Drawer(Disk, Protocol):
+    """A disk whose messages' bodies can be read."""
+
+    def read(self, names: list[str], then: Callable[[dict[str, bytes]], None]) -> None: ...
+
+
+class Store:
+    """One store machine."""
+
+    def __init__(
+        self, world: World, settings: Settings, address: str, drawer: Drawer, contents: Contents
+    ) -> None:
+        self.world, self.settings, self.drawer = world, settings, drawer
+        self.disk, self.fences, self.kept = contents.disk, contents.fences, contents.kept
+        self.news = News(
+            world, lambda: [self.member.relay] if self.member.relay else [], self._heard, pass_on=0
+        )
+        self.member = Member(world, settings, address, "storage", self.news, lambda: {"disk": self.disk})
+        self.words = {**words_of(self), **words_of(self.news)}
+        self.counts: dict[str, int] = {}
+        self.full = False
+        if contents.spoilt:
+            logging.error(
+                "%d messages on this disk have a wrong check sum and are passed over", len(contents.spoilt)
+            )
+
+    def begin(self) -> None:
+        self.member.begin()
+        self.news.begin()
+        self.world.later(SWEEP_S, self._sweep)
+
+    def leave(self) -> None:
+        """A planned end: nothing is owed here that a later start would not still have."""
+
+    def settings_are(self, settings: Settings) -> None:
+        """Take a settings file that has changed."""
+        self.settings = self.member.settings = settings
+        self.member.seeds_are(internal(settings))
+
+    def broken(self, address: str) -> None:
+        self.member.broken(address)
+
+    def _heard(self, key: str, value: Json) -> None:
+        if key == "cores":
+            self.member.cores_are(value)
+
+    def _count(self, name: str, by: int = 1) -> None:
+        self.counts[name] = self.counts.get(name, 0) + by
+
+    def _fenced(self, shard: int, epoch: int) -> bool:
+        return epoch < self.fences.get(shard, 0)
+
+    @on("put")
+    def on_put(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Keep a message; the answer says that it lasts."""
+        name, shard, epoch = body["id"], body["shard"], body["epoch"]
+        if self._fenced(shard, epoch):
+            self._count("fenced")
+            respond({"fenced": self.fences[shard]}, b"")
+            return
+        known = self.kept.get(name)
+        if known is not None and known.end:
+            respond({"ok": True, "end": known.end}, b"")
+            return
+        kept = Kept(shard, epoch, body["seq"], body["meta"], len(blob))
+        self.kept[name] = kept  # at once, so that an owner who comes now finds it
+
+        def done(error: str | None) -> None:
+            if error is None:
+                self.full = False
+                self._count("put")
+                respond({"ok": True}, b"")
+                return
+            if not self.full:
+                logging.error("a message can't be kept: %s", error)
+            self.full = True
+            if self.kept.get(name) is kept and known is None:
+                del self.kept[name]
+            respond({"full": True}, b"")
+
+        self.drawer.write([("put", (name, shard, epoch, kept.seq, kept.meta, blob))], done)
+
+    @on("marks")
+    def on_marks(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Keep how messages ended. An end is a fact: no fence stands against it."""
+        rows = []
+        for name, shard, end, seal, at in body["marks"]:
+            known = self.kept.get(name)
+            if known is None:
+                self.kept[name] = Kept(shard, 0, 0, {}, 0, end, seal, at)
+            elif known.end:
+                continue
+            else:
+                known.end, known.seal, known.ended_at = end, seal, at
+            rows.append(("end", (name, shard, end, seal, at)))
+        self._count("marks", len(rows))
+        self.drawer.write(rows, lambda error: respond({"ok": error is None}, b""))
+
+    @on("fence")
+    def on_fence(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Refuse older owners of these shards from now on, and tell what is open in them."""
+        rows, refused = [], {}
+        numbers = set()
+        for text, epoch in body["shards"].items():
+            shard = int(text)
+            if self._fenced(shard, epoch):
+                refused[shard] = self.fences[shard]
+                continue
+            numbers.add(shard)
+            if self.fences.get(shard) != epoch:
+                self.fences[shard] = epoch
+                rows.append(("fence", (shard, epoch)))
+        found = [(name, it) for name, it in self.kept.items() if not it.end and it.shard in numbers]
+        total, along = 0, []
+        for name, it in found:
+            total += it.size
+            if total <= WITH_BODIES:
+                along.append(name)
+
+        def answer(bodies: dict[str, bytes]) -> None:
+            messages = [
+                [name, *it.place(), it.meta, it.size, len(bodies[name]) if name in bodies else -1]
+                for name, it in found
+            ]  # fmt: skip
+            parts = b"".join(bodies[name] for name, _ in found if name in bodies)
+            respond({"ok": True, "refused": refused, "open": messages}, parts)
+
+        def done(error: str | None) -> None:
+            if error is not None:
+                respond({"ok": False}, b"")
+            elif along:
+                self.drawer.read(along, answer)
+            else:
+                answer({})
+
+        self._count("fences", len(numbers))
+        self.drawer.write(rows, done)
+
+    @on("find")
+    def on_find(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """What is known of messages: how they ended, or that they are open."""
+        found = {}
+        for name in body["ids"]:
+            known = self.kept.get(name)
+            if known is not None:
+                found[name] = [known.end, known.seal]
+        respond({"found": found}, b"")
+
+    @on("body")
+    def on_body(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """A message's bytes, while it is open or dead."""
+        name = body["id"]
+        known = self.kept.get(name)
+        if known is None or known.end not in ("", "dead"):
+            respond({"found": False}, b"")
+            return
+        self.drawer.read([name], lambda found: respond({"found": name in found}, found.get(name, b"")))
+
+    def _sweep(self) -> None:
+        self.world.later(SWEEP_S, self._sweep)
+        before = self.world.wall() - self.settings.seconds("statusTtlS")
+        over = [name for name, it in self.kept.items() if it.end and it.ended_at < before]
+        for name in over:
+            del self.kept[name]
+        if over:
+            self.drawer.write([("drop", (name,)) for name in over], lambda error: None)
--- /dev/null
+++ b/workshop/program.py
@@ -0,0 +1,251 @@
+"""The one program of all machines: what a machine's part decides, on real sockets, clocks and disks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from absl import logging
+from result import Err
+
+from workshop import settings as told
+from workshop.belt.links import Belt
+from workshop.crib.orders import Said, pack
+from workshop.hatch.server import Answer, Limits, Request, Server
+from workshop.ports import Handle, Json, Respond, Then
+
+COUNTERS_S = 10.0  # between lines of counters
+WATCH_S = 2.0  # between looks at the settings file
+SWEEP_S = 0.5
+STILL_SERVED_S = 2.6  # after SIGTERM until the platform sends nobody here any more
+SPARE_S = 0.8  # of the grace that is left for the end
+JSON = (("Content-Type", "application/json"),)
+CONTROL_LIMITS = Limits(body_bytes=4 << 20)
+
+
+class AsyncWorld:
+    """The world by asyncio."""
+
+    def __init__(self, belt: Belt, chance: random.Random) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.chance, self.now, self.wall = chance, self._loop.time, time.time
+        self._belt = belt
+
+    def later(self, seconds: float, act: Callable[[], None]) -> Handle:
+        return self._loop.call_later(seconds, act)
+
+    def tell(self, to: str, word: str, body: Json, blob: bytes = b"") -> None:
+        self._belt.tell(to, word, body, blob)
+
+    def ask(self, to: str, word: str, body: Json, within: float, then: Then, blob: bytes = b"") -> None:
+        self._belt.ask(to, word, body, within, then, blob)
+
+
+class Program:
+    """One process."""
+
+    def __init__(self, settings: told.Settings, path: str) -> None:
+        self.settings, self.path = settings, path
+        self.machine: Any = None
+        self.servers: list[Server] = []
+        self.closers: list[Callable[[], None]] = []
+        self.ended = asyncio.Event()
+        self.belt = Belt(self._hear, self._broken)
+        self._stamp = self._file_stamp()
+
+    def _hear(self, word: str, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        handler = self.machine.words.get(word) if self.machine is not None else None
+        if handler is not None:
+            handler(body, blob, origin, respond)
+
+    def _broken(self, address: str) -> None:
+        if self.machine is not None:
+            self.machine.broken(address)
+
+    async def run(self) -> int:
+        """Serve until told to end."""
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._failed)
+        await self.belt.listen(self.settings.ip, self.settings.ports)
+        world = AsyncWorld(self.belt, random.Random())
+        await self._build(world, loop)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._term)
+        loop.add_signal_handler(signal.SIGHUP, self._reread)
+        self.machine.begin()
+        loop.call_later(COUNTERS_S, self._counters)
+        loop.call_later(WATCH_S, self._watch)
+        await self.ended.wait()
+        for close in self.closers:
+            close()
+        self.belt.close()
+        return 0
+
+    async def _build(self, world: AsyncWorld, loop: asyncio.AbstractEventLoop) -> None:
+        settings, address = self.settings, self.belt.address
+
+        def post(act: Callable[[], None]) -> None:
+            with contextlib.suppress(RuntimeError):  # the loop has ended: nobody waits any more
+                loop.call_soon_threadsafe(act)
+
+        folder = Path(settings.data_dir) if settings.data_dir else None
+        if "control_plane" in settings.serves:
+            from workshop.machine.core import Core, blank
+            from workshop.vise.shelf import open_shelf
+
+            assert folder is not None, "a control relay needs a dataDir"
+            saved, cabinet, _ = open_shelf(folder, lambda: blank(settings, world.chance.getrandbits), post)
+            self.closers.append(cabinet.close)
+            core = self.machine = Core(world, settings, address, cabinet, saved)
+            await self._serve(
+                settings.control, lambda asked, answer: core.counter.take(asked, _saying(answer))
+            )
+        elif "storage" in settings.serves:
+            from workshop.chest.drawer import open_drawer
+            from workshop.machine.store import Store
+
+            assert folder is not None, "a store needs a dataDir"
+            contents, drawer = open_drawer(folder, lambda: f"{world.chance.getrandbits(64):x}", post)
+            self.closers.append(drawer.close)
+            self.machine = Store(world, settings, address, drawer, contents)
+        else:
+            await self._build_edge(world)
+
+    async def _build_edge(self, world: AsyncWorld) -> None:
+        from workshop.lathe.caller import Caller
+        from workshop.machine.edge import Edge
+
+        caller = Caller()
+        edge = self.machine = Edge(world, self.settings, self.belt.address, caller)
+
+        def limits() -> Limits:
+            routes = edge.routes
+            return Limits(routes.header_bytes, routes.body_bytes, routes.header_s, routes.idle_s)
+
+        def handle(asked: Request, answer: Callable[[Answer], None]) -> None:
+            def finish(
+                status: int, body: Json | None, headers: tuple[tuple[str, str], ...], blob: bytes
+            ) -> None:
+                if body is not None:
+                    answer(Answer(status, headers + JSON, pack(body)))
+                else:
+                    answer(Answer(status, headers, blob))
+
+            edge.handle(asked, finish)
+
+        def readiness(asked: Request, answer: Callable[[Answer], None]) -> None:
+            here = asked.target.partition("?")[0] == "/-/readiness"
+            answer(Answer((200 if edge.ready else 503) if here else 404, JSON, b"{}"))
+
+        def sweep() -> None:
+            caller.sweep()
+            world.later(SWEEP_S, sweep)
+
+        await self._serve(self.settings.front, handle, limits)
+        await self._serve(self.settings.readiness, readiness)
+        sweep()
+
+    async def _serve(
+        self,
+        at: tuple[str, int] | None,
+        handle: Callable[[Request, Callable[[Answer], None]], None],
+        limits: Callable[[], Limits] = lambda: CONTROL_LIMITS,
+    ) -> None:
+        if at is not None:
+            server = Server(handle, limits)
+            await server.listen(*at)
+            self.servers.append(server)
+
+    # -- ends and changes
+
+    def _failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        logging.error("%s", context.get("message"), exc_info=error)
+        if isinstance(error, AssertionError):
+            logging.flush()
+            os._exit(70)  # a broken invariant: what this process believes can't be trusted
+
+    def _term(self) -> None:
+        logging.info("told to end")
+        self.machine.leave()
+        loop = asyncio.get_running_loop()
+        if self.settings.front is None:
+            loop.call_later(0.02, self.ended.set)
+            return
+        for server in self.servers:
+            server.leave()
+        now = loop.time()
+        self._wind_up(now + STILL_SERVED_S, now + self.settings.seconds("graceS") - SPARE_S)
+
+    def _wind_up(self, served_until: float, until: float) -> None:
+        """End once nothing is owed, and the platform sends nobody here any more."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        owed = sum(it.open_requests for it in self.servers)
+        if now >= until or (now >= served_until and owed == 0 and self.machine.idle):
+            for server in self.servers:
+                server.stop()
+            self.ended.set()
+        else:
+            loop.call_later(0.05, self._wind_up, served_until, until)
+
+    def _file_stamp(self) -> tuple[float, int]:
+        try:
+            state = os.stat(self.path)
+        except OSError:
+            return 0.0, 0
+        return state.st_mtime, state.st_size
+
+    def _watch(self) -> None:
+        asyncio.get_running_loop().call_later(WATCH_S, self._watch)
+        if self._file_stamp() != self._stamp:
+            self._reread()
+
+    def _reread(self) -> None:
+        """The settings file has changed: seeds and bounds count from now on; a bad file is passed over."""
+        self._stamp = self._file_stamp()
+        read = told.read_file(self.path)
+        if isinstance(read, Err):
+            logging.error("the settings file is passed over: %s", "; ".join(read.err_value))
+            return
+        self.settings = read.ok_value
+        self.machine.settings_are(read.ok_value)
+
+    def _counters(self) -> None:
+        asyncio.get_running_loop().call_later(COUNTERS_S, self._counters)
+        counts = self.machine.counts
+        logging.info(
+            "counters: %s", " ".join(f"{key}={value}" for key, value in sorted(counts.items())) or "none"
+        )
+
+
+def _saying(answer: Callable[[Answer], None]) -> Callable[[Said], None]:
+    def say(said: Said) -> None:
+        again = (("Retry-After", str(said.retry_after)),) if said.retry_after is not None else ()
+        answer(Answer(said.status, JSON + again, pack(said.body)))
+
+    return say
+
+
+def main(path: str) -> int:
+    """Read the settings file and serve; 2 where the file is bad."""
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    read = told.read_file(path)
+    if isinstance(read, Err):
+        print("\n".join(read.err_value), file=sys.stderr)
+        return 2
+    settings = read.ok_value
+
+    async def serve() -> int:
+        return await Program(settings, path).run()
+
+    return asyncio.run(serve())
--- /dev/null
+++ b/workshop/vise/__init__.py
@@ -0,0 +1,1 @@
+"""The log that core machines agree on: it holds fast."""
