--- a/workshop/vise/sharing.py
+++ b/workshop/vise/sharing.py
@@ -11,8 +11,8 @@
     """What to give to whom.
 
     `owners` holds each shard's owner now ("" for none), `live` who may own any, `keep` whose shards stay
-    where they are for now. Each live one gets an even part of the rest, rounded down or up; a shard moves only from
-    one who may not own it or has more than its part.
+    where they are for now. Each live one gets an even part of the rest, rounded down or up; a shard moves
+    only from one who may not own it or has more than its part.
     """
     if not live:
         return {}
