--- /dev/null
+++ b/workshop/jig/__main__.py
@@ -0,0 +1,64 @@
+"""`python -m workshop.jig`: play a day and tell what happened, or hunt through many."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+
+import click
+from absl import logging
+
+from workshop.jig.days import Day
+from workshop.jig.hunt import hunt
+from workshop.jig.mutants import MUTANTS, mutated
+
+AIM = click.option("--aim", default="", help="Kind of trouble that the days are drawn from.")
+MUTANT = click.option(
+    "--mutant", default="", type=click.Choice(["", *MUTANTS]), help="A fault put into the program."
+)
+
+
+@click.group()
+def main() -> None:
+    """Days of a whole deployment in virtual time."""
+
+
+@main.command("play")
+@click.argument("seed", type=int)
+@AIM
+@MUTANT
+@click.option("--trace", is_flag=True, help="Tell all that was done.")
+@click.option("--log", is_flag=True, help="Show the machines' logs.")
+def play_one(seed: int, aim: str, mutant: str, trace: bool, log: bool) -> None:
+    """Play the day of one seed."""
+    logging.set_verbosity(logging.INFO if log else logging.FATAL)
+    with mutated(mutant):
+        day = Day(seed, aim)
+        broken = day.play()
+    if trace:
+        print("\n".join(day.history.lines))
+    print(f"{day.size}: {len(day.history.sent)} messages sent, {len(day.history.runs)} arrivals")
+    print("\n".join(map(str, broken)) or "no rule is broken")
+    sys.exit(bool(broken))
+
+
+@main.command("hunt")
+@click.option("--first", default=1, help="The first seed.")
+@click.option("--days", default=100, help="How many.")
+@AIM
+@MUTANT
+@click.option("--jobs", default=6, help="Processes.")
+def hunt_many(first: int, days: int, aim: str, mutant: str, jobs: int) -> None:
+    """Play many days; tell of those that break a rule."""
+    bad = 0
+    for seed, broken in hunt(range(first, first + days), aim, mutant, jobs):
+        if broken:
+            bad += 1
+            rules = ", ".join(f"{rule} {count}" for rule, count in Counter(it.rule for it in broken).items())
+            print(f"{seed}: {rules}: {broken[0]}", flush=True)
+    print(f"{bad} of {days} days break a rule")
+    sys.exit(bool(bad))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/workshop/jig/clients.py
@@ -0,0 +1,191 @@
+"""Clients: an open load in each zone through a virtual address, and questions about what was accepted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from workshop.jig.deployment import CLOSED, REFUSED, Deployment, Machine, Request
+from workshop.jig.history import Sent, Standing
+from workshop.jig.network import Life
+
+DEADLINE_S = 1.5
+PATIENCE_S = 0.3  # beyond the deadline, until a connection is closed
+TRIES = 3
+POLL_S = 1.0
+ASKED_S = 2.0
+HOST = "shop.example"
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What clients send."""
+
+    rate: float  # messages a second
+    paths: tuple[str, ...]  # each as likely as its share of the tuple
+    in_sequence: frozenset[str]
+    keys: int
+    delayed: float = 0.1  # part with Amberlug-Not-Before
+    never: float = 0.02  # part that can never be done
+    asks: float = 3.0  # questions a second about what was accepted
+
+
+class Clients:
+    """All clients."""
+
+    def __init__(self, deployment: Deployment, load: Load) -> None:
+        self.deployment, self.load = deployment, load
+        self.clock, self.history = deployment.clock, deployment.history
+        self.chance = deployment.draw("clients")
+        self.sending = False
+        self.extra: list[str] = []  # further paths that were just added or removed
+        self._misses: dict[str, int] = {it.name: 2 for it in deployment.edges}
+        self._accepted: list[Sent] = []
+
+    def begin(self) -> None:
+        """Poll readiness from now on."""
+        for edge in self.deployment.edges:
+            self._poll(edge)
+
+    def open(self) -> None:
+        """Begin to send."""
+        self.sending = True
+        self._next()
+        self._next_question()
+
+    # -- the virtual address
+
+    def _poll(self, edge: Machine) -> None:
+        def ask(life: Life, answer: Callable[..., None]) -> None:
+            answer(200 if life.machine.ready else 503, None)
+
+        def hear(status: int, *rest: object) -> None:
+            self._misses[edge.name] = 0 if status == 200 else self._misses[edge.name] + 1
+
+        self.deployment.call(edge, ask, POLL_S - 0.01, hear)
+        self.clock.later(POLL_S, lambda: self._poll(edge))
+
+    def pick(self, zone: str) -> Machine:
+        """The edge that a new connection from a zone is passed to."""
+        here = [it for it in self.deployment.edges if it.zone == zone]
+        into = [it for it in here if self._misses[it.name] < 2]
+        if into and 2 * len(into) < len(here):
+            into = here
+        if not into:
+            into = [it for it in self.deployment.edges if self._misses[it.name] < 2]
+        return self.chance.choice(into or self.deployment.edges)
+
+    # -- messages
+
+    def _next(self) -> None:
+        if self.sending:
+            self.clock.later(self.chance.expovariate(self.load.rate), self._next)
+            self.send(self.chance.choice(self.load.paths))
+            if self.extra and self.chance.random() < 0.15:
+                self.send(self.chance.choice(self.extra))
+
+    def send(self, path: str) -> None:
+        """Send one message."""
+        chance = self.chance
+        key = f"k{chance.randrange(self.load.keys)}" if path in self.load.in_sequence else ""
+        delay = chance.randrange(200, 1500) if chance.random() < self.load.delayed else 0
+        fate = chance.choice(("dead", "fails")) if chance.random() < self.load.never else ""
+        body = f"{chance.getrandbits(48):x}".encode()
+        zone = chance.choice(self.deployment.zones)
+        self._try(path, key, delay, fate, body, zone, self.clock.now, 1)
+
+    def _try(
+        self, path: str, key: str, delay: int, fate: str, body: bytes, zone: str, first: float, number: int
+    ) -> None:
+        clock = self.clock
+        left = DEADLINE_S - (clock.now - first)
+        if left <= 0.02:
+            return
+        sent = Sent(
+            f"{self.chance.getrandbits(64):016x}", HOST, f"{path}a", key, body, clock.now, first,
+            clock.now + delay / 1000,
+        )  # fmt: skip
+        self.history.sent[sent.attempt] = sent
+        if fate:
+            self.deployment.town.fates[sent.attempt] = fate
+        headers = [
+            ("host", HOST),
+            ("amberlug-attempt-id", sent.attempt),
+            ("amberlug-time-remaining", str(int(left * 1000))),
+        ]
+        if key:
+            headers.append(("amberlug-sequence-key", key))
+        if delay:
+            headers.append(("amberlug-not-before", str(delay)))
+
+        def again(seconds: float) -> None:
+            if number < TRIES:
+                clock.later(
+                    seconds,
+                    lambda: self._try(path, key, delay, fate, body, zone, first, number + 1),
+                )
+
+        def hear(status: int, body: object, headers: Any = None, blob: bytes = b"", life: str = "") -> None:
+            sent.status, sent.answered_at, sent.life = status, clock.now, life
+            if status == 202:
+                sent.name = headers["Amberlug-Message-Name"]
+                self._accepted.append(sent)
+            elif status in (429, 503):
+                again(min(float(headers.get("Retry-After", 1)), 1.0) * self.chance.uniform(0.3, 1.0))
+            elif status == REFUSED:
+                again(0.01)
+
+        request = Request("POST", sent.target, tuple(headers), body)
+        self.deployment.front(self.pick(zone), request, left + PATIENCE_S, hear)
+
+    # -- questions
+
+    def _next_question(self) -> None:
+        if self.sending and self.load.asks:
+            self.clock.later(self.chance.expovariate(self.load.asks), self._next_question)
+            if self._accepted:
+                recent = self._accepted[-60:]
+                self.ask(self.chance.choice(recent).name, lambda standing: None)
+
+    def ask(self, name: str, then: Callable[[Standing], None]) -> None:
+        """Ask any edge how a message stands."""
+        self._question(name, "/-/message/", then)
+
+    def ask_body(self, name: str, then: Callable[[Standing], None]) -> None:
+        """Ask any edge for a message's bytes."""
+        self._question(name, "/-/message-body/", then)
+
+    def _question(self, name: str, path: str, then: Callable[[Standing], None]) -> None:
+        asked = self.clock.now
+        edge = self.pick(self.chance.choice(self.deployment.zones))
+
+        def hear(status: int, body: Any, headers: object = None, blob: bytes = b"", life: str = "") -> None:
+            said = body if isinstance(body, dict) else {}
+            standing = Standing(
+                name, asked, self.clock.now, status, said.get("condition", ""), said.get("seal", ""),
+                blob if status == 200 and body is None else None,
+            )  # fmt: skip
+            if status not in (REFUSED, CLOSED):
+                self.history.standings.append(standing)
+            then(standing)
+
+        self.deployment.front(edge, Request("GET", f"{path}{name}", (("host", HOST),)), ASKED_S, hear)
+
+    def ask_all(self, tries: int) -> None:
+        """At the end of a day: ask for the state of all that was accepted, and for the bytes of what is open."""
+        for sent in self._accepted:
+            self._insist(sent, tries)
+
+    def _insist(self, sent: Sent, tries: int) -> None:
+        def again() -> None:
+            if tries > 1:
+                self.clock.later(0.5, lambda: self._insist(sent, tries - 1))
+
+        def hear(standing: Standing) -> None:
+            if standing.status != 200:
+                again()
+            elif standing.condition == "pending":
+                self.ask_body(sent.name, lambda found: again() if found.status != 200 else None)
+
+        self.ask(sent.name, hear)
--- /dev/null
+++ b/workshop/jig/days.py
@@ -0,0 +1,384 @@
+"""Days drawn from a seed: a deployment, a load and troubles, never more at once than must be borne."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from workshop.jig.checker import Checker
+from workshop.jig.clients import Clients, Load
+from workshop.jig.deployment import BOUNDS, RESTART_S, Deployment, Machine
+from workshop.jig.endpoints import Kind
+from workshop.jig.history import Broken
+from workshop.jig.operator import Operator, route, service
+
+TRAFFIC_S = 3.5  # machines start so long before traffic does
+AFTER_S = 10.0  # for what was accepted to be done
+QUESTIONS_S = 6.0
+BACK_S = BOUNDS["catchUpS"]  # a machine counts as lost so long after it is back
+MAX_ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """A deployment's size and its traffic."""
+
+    zones: int
+    edges: int
+    stores: int
+    cores: int
+    seconds: float
+    rate: float
+
+
+class Day:
+    """One play of one seed."""
+
+    def __init__(self, seed: int, aim: str = "") -> None:
+        self.seed, self.aim = seed, aim
+        chance = self.chance = random.Random(f"{seed} day")
+        size = self.size = Size(
+            chance.choice((2, 3, 3, 4)), chance.randrange(2, 6), chance.choice((3, 3, 4)),
+            chance.choice((3, 3, 3, 4, 5)), chance.uniform(12.0, 20.0), chance.uniform(20.0, 40.0),
+        )  # fmt: skip
+        dedup = chance.random() < 0.4
+        kinds = [
+            Kind("alpha", 4, 0.06, False),
+            Kind("beta", 4, 0.06, dedup),
+            Kind("gamma", 4, 0.05, dedup),
+        ]
+        heartbeat = chance.choice((1.0, 1.2, 2.0))
+        self.deployment = Deployment(seed, size.zones, size.edges, size.stores, size.cores, kinds, heartbeat)
+        self.history, self.clock = self.deployment.history, self.deployment.clock
+        rate = 5.0 if aim == "rate" else chance.choice((0.0, 0.0, 8.0))
+        paths = ("/plain/", "/plain/", "/plain/", "/seq/", "/seq/", "/rated/")
+        if aim == "rate":
+            paths = ("/plain/", "/seq/", "/rated/", "/rated/")
+        load = Load(size.rate, paths, frozenset(("/seq/",)), chance.choice((4, 10, 30)))
+        self.clients = Clients(self.deployment, load)
+        first = {
+            "routeTable": [route("/plain/", "alpha"), route("/seq/", "beta", True, rank=0), route("/rated/", "gamma")],
+            "serviceTable": [service("alpha"), service("beta", dedup=dedup), service("gamma", rate, dedup)],
+            "limits": {"maxHeaderBytes": 16384},
+        }  # fmt: skip
+        self.operator = Operator(self.deployment, first)
+        self.wiped = False
+
+    def play(self) -> list[Broken]:
+        """Play the day; the rules that broke."""
+        for machine in self.deployment.machines:
+            self.clock.later(self.chance.uniform(0.0, 0.15), machine.start)
+        for name, count in (("alpha", 4), ("beta", 3), ("gamma", 2)):
+            for number in range(count):
+                zone = self.deployment.zones[number % self.size.zones]
+                self.clock.later(1.2, partial(self.deployment.town.start, name, zone))
+        self.clock.later(0.6, self.operator.begin)
+        self.clients.begin()
+        self.clock.run(TRAFFIC_S)
+        self.clients.open()
+        over = TRAFFIC_S + self.size.seconds
+        self._plan(TRAFFIC_S + 1.0, over - 5.0)
+        self.clock.run(over)
+        self.clients.sending = False
+        self.history.over_at = over
+        self.history.say("traffic ends")
+        self.clock.run(over + AFTER_S)
+        self.clients.ask_all(8)
+        self.operator.read_back(10)
+        self.clock.run(over + AFTER_S + QUESTIONS_S)
+        return Checker(self.history, MAX_ATTEMPTS).check()
+
+    # -- what is done
+
+    def _plan(self, start: float, end: float) -> None:
+        """Draw what happens when. Losses of counted machines stand apart by what it takes to catch up."""
+        chance = self.chance
+        free = {"system": start, "other": start}
+        system: list[Callable[[], float]] = [
+            self._kill, self._power, self._freeze, self._roll, self._cut, self._leader_acks, self._drop_links,
+            self._stall,
+        ]  # fmt: skip
+        aims: dict[str, list[Callable[[], float]]] = {
+            "edges": [self._edge_freeze, self._edge_kill, self._edge_roll, self._edge_cut],
+            "roll": [self._edge_roll],
+            "drain": [self._leader_drains],
+            "closing": [lambda: 0.0],
+            "core": [lambda: 0.0],
+            "rate": [self._edge_kill, self._edge_roll],
+            "freeze": [self._edge_freeze],
+            "quiet": [lambda: 0.0],
+        }
+        others = [
+            self._crash,
+            self._replace,
+            self._answers_lost,
+            self._change,
+            self._change,
+            self._race,
+            self._invalid,
+        ]
+        system = aims.get(self.aim, system)
+        while free["system"] < end or free["other"] < end:
+            which = min(free, key=lambda name: free[name])
+            act = chance.choice(system if which == "system" else others)
+            at = free[which]
+            # Drawn here, so that what one trouble does does not change when the others come.
+            self.clock.later(at - self.clock.now, act)
+            free[which] = at + (
+                chance.uniform(BACK_S + 3.5, BACK_S + 6.0) if which == "system" else chance.uniform(0.4, 3.0)
+            )
+        if self.aim in ("closing", "core") or (not self.aim and chance.random() < 0.25):
+            self.clock.later(end + 1.0 - self.clock.now, self._close)
+
+    def _any(self, machines: list[Machine]) -> Machine:
+        return self.chance.choice(machines)
+
+    def _restart(self, machine: Machine, seconds: float = RESTART_S) -> float:
+        self.clock.later(seconds, machine.start)
+        return seconds
+
+    def _kill_one(self, machine: Machine) -> float:
+        self.history.trouble(f"{machine.name} is killed", RESTART_S)
+        machine.kill()
+        return self._restart(machine)
+
+    def _kill(self) -> float:
+        return self._kill_one(self._any(self.deployment.machines))
+
+    def _edge_kill(self) -> float:
+        return self._kill_one(self._any(self.deployment.edges))
+
+    def _power(self) -> float:
+        machine, seconds = self._any(self.deployment.machines), self.chance.uniform(0.5, 3.0)
+        self.history.trouble(f"{machine.name} loses power for {seconds:.1f} s", seconds)
+        machine.power_off()
+        return self._restart(machine, seconds)
+
+    def _freeze_one(self, machine: Machine) -> float:
+        seconds = self.chance.choice((0.5, 1.0, 2.0, 3.0))
+        self.history.trouble(f"{machine.name} is frozen for {seconds:.1f} s", seconds)
+        machine.freeze()
+        self.clock.later(seconds, machine.thaw)
+        return seconds
+
+    def _freeze(self) -> float:
+        return self._freeze_one(self._any(self.deployment.machines))
+
+    def _edge_freeze(self) -> float:
+        return self._freeze_one(self._any(self.deployment.edges))
+
+    def _term(self, machine: Machine) -> float:
+        """A planned stop and start; that of a core or a store unsettles the core like any trouble."""
+        self.history.trouble(f"{machine.name} is told to end", 7.0, planned=machine.kind == "edge")
+        machine.term()
+
+        def look() -> None:
+            if machine.up:
+                self.clock.later(0.1, look)
+            else:
+                self.history.say(f"{machine.name} has ended")
+                self.clock.later(RESTART_S, machine.start)
+
+        look()
+        return 7.0
+
+    def _roll(self) -> float:
+        return self._term(self._any(self.deployment.machines))
+
+    def _edge_roll(self) -> float:
+        return self._term(self._any(self.deployment.edges))
+
+    def _cut_off(self, machine: Machine) -> float:
+        """Cut links of one machine, one way or both, for a while."""
+        seconds, others = self.chance.uniform(0.3, 4.0), self.deployment.machines
+        if self.chance.random() < 0.5:
+            others = self.chance.sample(others, len(others) // 2)
+        way = self.chance.choice(("to", "from", "both"))
+        pairs = set()
+        for it in others:
+            if it is not machine:
+                pairs |= {(machine.name, it.name)} if way != "to" else set()
+                pairs |= {(it.name, machine.name)} if way != "from" else set()
+        self.history.trouble(
+            f"{machine.name} is cut from {len(others)} machines ({way}) for {seconds:.1f} s", seconds
+        )
+        self.deployment.net.cut(pairs)
+        self.clock.later(seconds, partial(self.deployment.net.join, pairs))
+        return seconds
+
+    def _cut(self) -> float:
+        return self._cut_off(self._any(self.deployment.machines))
+
+    def _edge_cut(self) -> float:
+        return self._cut_off(self._any(self.deployment.edges))
+
+    def _drop_links(self) -> float:
+        """Reset the connections of one machine, or lose a part of its packets for a while."""
+        machine = self._any(self.deployment.machines)
+        if self.chance.random() < 0.5:
+            self.history.trouble(f"the connections of {machine.name} are reset")
+            self.deployment.net.reset(machine)
+            return 0.0
+        self.history.trouble(f"{machine.name} loses packets for 3 s", 3.0)
+        machine.loss = 0.05
+
+        def whole() -> None:
+            machine.loss = 0.0
+
+        self.clock.later(3.0, whole)
+        return 3.0
+
+    def _stall(self) -> float:
+        """A disk stalls, or is full for a while."""
+        machine = self._any(self.deployment.stores + self.deployment.cores)
+        disk = machine.disk
+        assert disk is not None, "stores and cores have a disk"
+        seconds = self.chance.uniform(0.3, 3.0)
+        if self.chance.random() < 0.5:
+            self.history.trouble(f"the disk of {machine.name} stalls for {seconds:.1f} s", seconds)
+            disk.stalled_until = self.clock.now + seconds
+        elif machine.kind == "store":
+            self.history.trouble(f"the disk of {machine.name} is full for {seconds:.1f} s", seconds)
+            disk.full = True
+
+            def room() -> None:
+                disk.full = False
+
+            self.clock.later(seconds, room)
+        return seconds
+
+    def _leader(self) -> Machine | None:
+        return next(
+            (it for it in self.deployment.cores if it.up and it.part.vise.leader == it.part.vise.me), None
+        )
+
+    def _leader_acks(self) -> float:
+        """Kill the relay that acknowledges a configuration, or the leader, at that moment."""
+        which = self.chance.random() < 0.5
+
+        def strike(core: Machine) -> None:
+            self.operator.on_acked = lambda it: None
+            machine = core if which else self._leader()
+            if machine is not None:
+                self._kill_one(machine)
+
+        self.operator.on_acked = strike
+        self.operator.change()
+        self.clock.later(2.0, self._no_strike)
+        return 2.0
+
+    def _no_strike(self) -> None:
+        self.operator.on_acked = lambda core: None
+        self.deployment.town.on_drained = lambda: None
+
+    def _leader_drains(self) -> float:
+        """Kill the leader, or another core machine, right as a drain is acknowledged."""
+        leader = self.chance.random() < 0.5
+
+        def strike() -> None:
+            self.deployment.town.on_drained = lambda: None
+            machine = self._leader() if leader else self._any(self.deployment.cores)
+            if machine is not None:
+                self._kill_one(machine)
+
+        self.deployment.town.on_drained = strike
+        self._replace()
+        self.clock.later(2.0, self._no_strike)
+        return 2.0
+
+    def _close(self) -> float:
+        """A closing fault: right after a configuration is acknowledged."""
+        chance = self.chance
+        what = "wipe" if self.aim in ("closing", "core") else chance.choice(("power", "kill", "wipe"))
+        counted = (
+            self.deployment.cores if self.aim == "core" else self.deployment.stores + self.deployment.cores
+        )
+        seconds = chance.uniform(0.5, 2.0)
+        struck = False
+
+        def strike(core: Machine | None = None) -> None:
+            nonlocal struck
+            if struck:
+                return
+            struck = True
+            self.operator.on_acked = lambda it: None
+            self.history.trouble(f"the closing fault: {what}", seconds)
+            for machine in self.deployment.machines:
+                machine.kill() if what == "kill" else machine.power_off()
+                self._restart(machine, seconds + chance.uniform(0.0, 0.3))
+            if what == "wipe":
+                lost = self._any(counted)
+                self.history.say(f"{lost.name} loses its disk")
+                lost.wipe()
+
+        self.operator.on_acked = strike
+        self.operator.change()
+        self.clock.later(1.5, strike)
+        return seconds
+
+    # -- endpoints and configuration
+
+    def _crash(self) -> float:
+        ready = self.deployment.town.up()
+        victim = self.chance.choice(ready)
+        silent = self.chance.random() < 0.3
+        if len(self.deployment.town.up(victim.kind.name)) > 1:
+            self.history.say(f"{victim.name} crashes{' with its machine' if silent else ''}")
+            victim.crash(silent)
+            reuse = "" if self.chance.random() < 0.5 else victim.address
+            names = list(self.deployment.town.kinds)
+            other = victim.kind.name if not reuse else self.chance.choice(names)
+            town = self.deployment.town
+            if reuse:
+                self.clock.later(2.2, lambda: town.start(other, victim.zone, reuse))
+            if other != victim.kind.name or not reuse:
+                self.clock.later(1.0, lambda: town.start(victim.kind.name, victim.zone))
+        return 0.0
+
+    def _replace(self) -> float:
+        town = self.deployment.town
+        victim = self.chance.choice(town.up())
+        town.start(victim.kind.name, victim.zone)
+        linger = self.chance.uniform(0.3, 4.0)
+        self.history.say(f"{victim.name} of {victim.kind.name} is to leave")
+        victim.leave(linger, lambda: self.history.say(f"{victim.name} has ended"))
+        return 0.0
+
+    def _answers_lost(self) -> float:
+        kind = self.chance.choice(list(self.deployment.town.kinds.values()))
+        self.history.say(f"{kind.name} loses answers for 1 s")
+        kind.lost = 0.2
+
+        def whole() -> None:
+            kind.lost = 0.0
+
+        self.clock.later(1.0, whole)
+        return 0.0
+
+    def _change(self) -> float:
+        self.operator.change()
+        self._look_at_routes()
+        return 0.0
+
+    def _race(self) -> float:
+        self.operator.race()
+        self._look_at_routes()
+        return 0.0
+
+    def _invalid(self) -> float:
+        self.operator.invalid()
+        return 0.0
+
+    def _look_at_routes(self) -> None:
+        """Clients also use routes that were added or removed of late."""
+        recent = [
+            prefix for it in self.history.versions[-4:] for prefix in it.services if prefix.startswith("/x")
+        ]
+        self.clients.extra = sorted(set(recent))
+
+
+def play(seed: int, aim: str = "") -> list[Broken]:
+    """Play the day of a seed; the rules that broke."""
+    return Day(seed, aim).play()
--- /dev/null
+++ b/workshop/jig/deployment.py
@@ -0,0 +1,313 @@
+"""The machines of a deployment: started, killed, frozen, rolled and wiped, with calls to them from outside."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from workshop.crib.orders import Said
+from workshop.jig.clock import Clock
+from workshop.jig.disk import Chest, DiskOf, DrawerOf, Platter, Shelf
+from workshop.jig.endpoints import Caller, Kind, Town
+from workshop.jig.history import Broken, History
+from workshop.jig.network import Host, Life, LifeWorld, Network
+from workshop.machine.core import Core, blank
+from workshop.machine.edge import Edge
+from workshop.machine.store import Store
+from workshop.ports import Json, Lost
+from workshop.program import SPARE_S, STILL_SERVED_S
+from workshop.settings import Settings, Tolerance
+
+OUTSIDE_S = 0.001  # from outside to a machine, one way
+RESTART_S = 0.8
+WALL_S = 1.79e9
+STOP_S = 0.02  # a core's or a store's planned end
+REFUSED, CLOSED, SILENT = 0, -1, -2  # instead of an answer's status
+BOUNDS = {
+    "seedLagS": 3.0, "reuseAfterS": 2.0, "contactMs": 4000.0, "ackMs": 5000.0, "catchUpS": 4.5, "drainMs": 3000.0,
+    "graceS": 6.0, "configApplyMs": 3000.0, "completedS": 10.0, "statusTtlS": 120.0, "earlyMs": 100.0,
+    "ceilingWindowS": 5.0, "ceilingOver": 1.1,
+}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request from outside; names of headers in small letters."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+    def header(self, name: str) -> str | None:
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class Machine(Host):
+    """One machine and its disk."""
+
+    def __init__(self, deployment: Deployment, kind: str, number: int, zone: str, address: str) -> None:
+        super().__init__(f"{kind}-{number}", zone, address)
+        self.deployment, self.kind = deployment, kind
+        self.ip = address.rpartition(":")[0]
+        self.control = f"{self.ip}:7000"
+        self.wall = WALL_S + deployment.chance.uniform(-0.02, 0.02)
+        self.lives = 0
+        self.first = True
+        self.disk: Platter | None = None
+        if kind != "edge":
+            make = Shelf if kind == "core" else Chest
+            self.disk = make(deployment.clock, deployment.draw(f"disk {self.name}"), deployment.sync_s)
+
+    @property
+    def up(self) -> bool:
+        return self.life is not None and not self.life.over
+
+    @property
+    def part(self) -> Any:
+        """What runs here: an Edge, a Store or a Core."""
+        assert self.life is not None, "nothing runs here"
+        return self.life.machine
+
+    def start(self) -> None:
+        """Start the process, where none runs."""
+        if self.up:
+            return
+        deployment = self.deployment
+        self.powered = True
+        self.lives += 1
+        life = self.life = Life(self, self.lives, deployment.failed)
+        chance = deployment.draw(f"{self.name} {self.lives}")
+        world = LifeWorld(deployment.net, life, chance, self.wall)
+        settings = deployment.settings(self)
+        if isinstance(self.disk, Shelf):
+            saved = self.disk.begun(lambda: blank(settings, chance.getrandbits))
+            life.machine = Core(world, settings, self.address, DiskOf(life, self.disk), saved)
+        elif isinstance(self.disk, Chest):
+            drawer = DrawerOf(life, self.disk)
+            life.machine = Store(world, settings, self.address, drawer, self.disk.begun())
+        else:
+            life.machine = Edge(world, settings, self.address, Caller(deployment.town, life))
+        self.first = False
+        life.do(life.machine.begin)
+
+    def kill(self) -> None:
+        """The process ends at once; its connections are reset."""
+        if self.up:
+            self._end(self.disk.lose if self.disk is not None else lambda: None)
+
+    def _end(self, disk: Callable[[], None]) -> None:
+        life = self.life
+        assert life is not None, "nothing runs here"
+        life.over = True
+        disk()
+        for link in list(life.links.values()):
+            link.close(0, Lost.BROKEN, True)
+        for link in list(life.incoming):
+            link.close(1, Lost.BROKEN, True)
+        for close in list(life.calls):
+            self.deployment.clock.later(OUTSIDE_S, close)
+        self.deployment.town.closed(life)
+
+    def power_off(self) -> None:
+        """The machine is without power: all of it is silent."""
+        self.powered = False
+        life = self.life
+        if life is None or life.over:
+            return
+        life.over = True
+        if self.disk is not None:
+            self.disk.lose()
+        for link in life.links.values():
+            link.silence(0)
+        for link in life.incoming:
+            link.silence(1)
+
+    def freeze(self) -> None:
+        if self.up and self.life is not None:
+            self.life.frozen = True
+
+    def thaw(self) -> None:
+        if self.life is not None:
+            self.life.thaw(self.deployment.chance)
+
+    def wipe(self) -> None:
+        """The disk is empty from now on; nothing runs here."""
+        assert not self.up, "a disk is wiped while its machine is down"
+        if isinstance(self.disk, Shelf | Chest):
+            self.disk.wipe()
+
+    def term(self) -> None:
+        """The process is told to end, winds up as the program does and ends."""
+        life = self.life
+        if life is None or life.over:
+            return
+        life.do(life.machine.leave)
+        clock = self.deployment.clock
+        if self.kind != "edge":
+            clock.later(STOP_S, partial(self._finish, life))
+            return
+        grace = BOUNDS["graceS"]
+        self._wind_up(life, clock.now + STILL_SERVED_S, clock.now + grace - SPARE_S)
+
+    def _wind_up(self, life: Life, served_until: float, until: float) -> None:
+        if life.over:
+            return
+        now = self.deployment.clock.now
+        if now >= until or (now >= served_until and not life.calls and life.machine.idle):
+            self._finish(life)
+        else:
+            self.deployment.clock.later(0.05, partial(self._wind_up, life, served_until, until))
+
+    def _finish(self, life: Life) -> None:
+        if not life.over:
+            self._end(self.disk.close if self.disk is not None else lambda: None)
+
+
+class Deployment:
+    """All of it, from one seed."""
+
+    def __init__(
+        self,
+        seed: int,
+        zones: int,
+        edges: int,
+        stores: int,
+        cores: int,
+        kinds: list[Kind],
+        heartbeat_s: float,
+    ) -> None:
+        self.seed = seed
+        self.chance = self.draw("deployment")
+        self.clock = Clock()
+        self.history = History(self.clock)
+        self.heartbeat_s = heartbeat_s
+        self.sync_s = 0.002
+        self.net = Network(self.clock, self.draw("network"), self.chance.choice((0.0005, 0.0009, 0.003)))
+        self.zones = [f"z{number}" for number in range(zones)]
+        self.tolerance = Tolerance(1, 0, 0)
+        self.town = Town(self, kinds)
+        self.edges = self._make("edge", edges)
+        self.stores = self._make("store", stores)
+        self.cores = self._make("core", cores)
+
+    def draw(self, what: str) -> random.Random:
+        """Chance of its own for one part, so that parts do not disturb each other's draws."""
+        return random.Random(f"{self.seed} {what}")
+
+    def _make(self, kind: str, count: int) -> list[Machine]:
+        at = {"edge": 1, "store": 2, "core": 3}[kind]
+        made = []
+        for number in range(count):
+            zone = number % len(self.zones)
+            machine = Machine(self, kind, number, self.zones[zone], f"10.{zone}.{at}.{number + 1}:7300")
+            self.net.hosts[machine.address] = machine
+            made.append(machine)
+        return made
+
+    @property
+    def machines(self) -> list[Machine]:
+        return self.edges + self.stores + self.cores
+
+    def settings(self, machine: Machine) -> Settings:
+        """The settings file of a machine."""
+        serves = {"edge": "edge", "store": "storage", "core": "control_plane"}[machine.kind]
+        return Settings(
+            machine.name, machine.ip, machine.zone, "r", frozenset((serves,)), machine.kind,
+            None, None, (machine.ip, 7000) if machine.kind == "core" else None, range(7300, 7316),
+            tuple((it.ip, 7000) for it in self.cores[:3]), machine.first, "data", self.heartbeat_s,
+            self.tolerance, 300.0, 360.0, BOUNDS,
+        )  # fmt: skip
+
+    def failed(self, life: Life, error: AssertionError) -> None:
+        """A broken invariant ends its process, as it does in the program."""
+        self.history.say(f"{life.name} ends: {error}")
+        self.history.faults.append(Broken("FAULT", f"{life.name} at {self.clock.now:.3f}: {error}"))
+        if isinstance(life.host, Machine):
+            self.clock.later(0.0, life.host.kill)
+            self.clock.later(RESTART_S, life.host.start)
+
+    # -- from outside
+
+    def call(
+        self,
+        machine: Machine,
+        ask: Callable[[Life, Callable[..., None]], None],
+        within: float,
+        then: Callable[..., None],
+    ) -> None:
+        """Call a machine; `then` hears what was answered, or REFUSED, CLOSED or SILENT."""
+        clock = self.clock
+        over = False
+
+        def end(*said: Any) -> None:
+            nonlocal over
+            if not over:
+                over = True
+                then(*said)
+
+        def arrive() -> None:
+            life = machine.life
+            if not machine.powered:
+                return
+            if life is None or life.over:
+                clock.later(OUTSIDE_S, lambda: end(REFUSED, None))
+                return
+
+            def close() -> None:
+                end(CLOSED, None)
+
+            def answer(*said: Any) -> None:
+                life.calls.pop(close, None)
+                if not life.over:
+                    clock.later(OUTSIDE_S, lambda: end(*said))
+
+            life.calls[close] = None
+            clock.later(within, lambda: life.calls.pop(close, None))
+            life.do(lambda: ask(life, answer))
+
+        clock.later(OUTSIDE_S, arrive)
+        clock.later(within, lambda: end(SILENT, None))
+
+    def control(
+        self,
+        core: Machine,
+        method: str,
+        target: str,
+        body: bytes,
+        within: float,
+        then: Callable[[int, Any], None],
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Call a control relay."""
+        request = Request(method, target, headers, body)
+
+        def ask(life: Life, answer: Callable[..., None]) -> None:
+            def say(said: Said) -> None:
+                answer(said.status, said.body)
+
+            life.machine.counter.take(request, say)
+
+        self.call(core, ask, within, then)
+
+    def front(
+        self,
+        edge: Machine,
+        request: Request,
+        within: float,
+        then: Callable[..., None],
+    ) -> None:
+        """Call an edge's front; `then` hears status, body, headers, bytes and the process that was asked."""
+
+        def ask(life: Life, answer: Callable[..., None]) -> None:
+            def finish(
+                status: int, body: Json | None, headers: tuple[tuple[str, str], ...], blob: bytes
+            ) -> None:
+                answer(status, body, dict(headers), blob, life.name)
+
+            life.machine.handle(request, finish)
+
+        self.call(edge, ask, within, then)
--- /dev/null
+++ b/workshop/jig/disk.py
@@ -0,0 +1,194 @@
+"""Disks as models of what lasts: a core's log and a store's drawer, by the rows that the program writes."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from workshop.chest.drawer import Contents, Kept
+from workshop.jig.clock import Clock
+from workshop.jig.network import Life
+from workshop.vise.agree import Saved
+
+Row = tuple[str, tuple[Any, ...]]
+READ_S = 0.0005
+
+
+class Platter:
+    """One machine's disk: what piles up is committed together, and a commit is there whole or not at all."""
+
+    def __init__(self, clock: Clock, chance: random.Random, sync_s: float) -> None:
+        self.clock, self.chance, self.sync_s = clock, chance, sync_s
+        self.stalled_until = 0.0
+        self.full = False
+        self._queue: list[tuple[list[Row] | None, Callable[[Any], None]]] = []
+        self._batch: list[tuple[list[Row] | None, Callable[[Any], None]]] = []
+        self._number = 0
+
+    def put(self, rows: list[Row] | None, then: Callable[[Any], None]) -> None:
+        """Queue a write, or with None a look behind the writes before it."""
+        if rows is not None:
+            rows = [(kind, self.copied(kind, values)) for kind, values in rows]
+        self._queue.append((rows, then))
+        if not self._batch:
+            self._begin()
+
+    def _begin(self) -> None:
+        if not self._queue:
+            return
+        looks = [at for at, (rows, _) in enumerate(self._queue) if rows is None]
+        upto = max(1, looks[0]) if looks else len(self._queue)
+        self._batch, self._queue = self._queue[:upto], self._queue[upto:]
+        seconds = READ_S if self._batch[0][0] is None else self.sync_s * self.chance.uniform(0.8, 1.6)
+        seconds += max(0.0, self.stalled_until - self.clock.now)
+        self._number += 1
+        self.clock.later(seconds, partial(self._done, self._number))
+
+    def _done(self, number: int) -> None:
+        if number != self._number or not self._batch:
+            return
+        batch, self._batch = self._batch, []
+        for rows, then in batch:
+            if self.full and any(kind in ("put", "entry") for kind, _ in rows or ()):
+                then("no space is left")
+                continue
+            for kind, values in rows or ():
+                self.keep(kind, values)
+            then(None)
+        self._begin()
+
+    def lose(self) -> None:
+        """The process or the power is gone: what is under way is there or not, what waits is not."""
+        batch, self._batch, self._queue = self._batch, [], []
+        self._number += 1
+        if self.chance.random() < 0.5 and not self.full:
+            for rows, _ in batch:
+                for kind, values in rows or ():
+                    self.keep(kind, values)
+
+    def close(self) -> None:
+        """An orderly end: what is queued is written."""
+        for rows, _ in self._batch + self._queue:
+            for kind, values in rows or ():
+                self.keep(kind, values)
+        self._batch, self._queue = [], []
+        self._number += 1
+
+    def copied(self, kind: str, values: tuple[Any, ...]) -> tuple[Any, ...]:
+        """A row's values as they are when they are written."""
+        raise NotImplementedError
+
+    def keep(self, kind: str, values: tuple[Any, ...]) -> None:
+        """A row lasts."""
+        raise NotImplementedError
+
+
+class Shelf(Platter):
+    """A core machine's part of the log."""
+
+    def __init__(self, clock: Clock, chance: random.Random, sync_s: float) -> None:
+        super().__init__(clock, chance, sync_s)
+        self._saved: Saved | None = None
+
+    def begun(self, blank: Callable[[], Saved]) -> Saved:
+        """What a process that starts reads."""
+        if self._saved is None:
+            self._saved = blank()
+        it = self._saved
+        text = json.dumps([it.state, it.members, it.entries])
+        state, members, entries = json.loads(text)
+        rows = [(term, command) for term, command in entries]
+        return Saved(it.me, it.term, it.vote, it.start, it.start_term, state, members, rows)
+
+    def wipe(self) -> None:
+        self._saved = None
+
+    def copied(self, kind: str, values: tuple[Any, ...]) -> tuple[Any, ...]:
+        return tuple(json.loads(json.dumps(values)))
+
+    def keep(self, kind: str, values: tuple[Any, ...]) -> None:
+        saved = self._saved
+        assert saved is not None, "a disk is begun before it is written to"
+        if kind == "term":
+            saved.term, saved.vote = values
+        elif kind == "cut":
+            del saved.entries[max(0, values[0] - saved.start - 1) :]
+        elif kind == "entry":
+            at, term, command = values
+            place = at - saved.start - 1
+            assert 0 <= place <= len(saved.entries), "an entry would leave a gap on disk"
+            saved.entries[place : place + 1] = [(term, command)]
+        else:
+            start, start_term, state, members, *keep = values
+            rest = saved.entries[max(0, start - saved.start) :] if not keep or keep[0] else []
+            saved.start, saved.start_term, saved.state = start, start_term, state
+            saved.members, saved.entries = members, rest
+
+
+class Chest(Platter):
+    """A store's messages."""
+
+    def __init__(self, clock: Clock, chance: random.Random, sync_s: float) -> None:
+        super().__init__(clock, chance, sync_s)
+        self.wipe()
+
+    def wipe(self) -> None:
+        self._disk = f"{self.chance.getrandbits(64):x}"
+        self._fences: dict[int, int] = {}
+        self._rows: dict[str, Kept] = {}
+        self._bodies: dict[str, bytes] = {}
+
+    def begun(self) -> Contents:
+        """What a process that starts reads."""
+        kept = {
+            name: Kept(it.shard, it.epoch, it.seq, dict(it.meta), it.size, it.end, it.seal, it.ended_at)
+            for name, it in self._rows.items()
+        }
+        return Contents(self._disk, dict(self._fences), kept)
+
+    def copied(self, kind: str, values: tuple[Any, ...]) -> tuple[Any, ...]:
+        return values
+
+    def keep(self, kind: str, values: tuple[Any, ...]) -> None:
+        if kind == "put":
+            name, shard, epoch, seq, meta, body = values
+            self._rows[name] = Kept(shard, epoch, seq, meta, len(body))
+            self._bodies[name] = body
+        elif kind == "end":
+            name, shard, end, seal, at = values
+            row = self._rows.setdefault(name, Kept(shard, 0, 0, {}, 0))
+            row.end, row.seal, row.ended_at = end, seal, at
+            if end != "dead":
+                self._bodies.pop(name, None)
+        elif kind == "fence":
+            self._fences[values[0]] = values[1]
+        else:
+            self._rows.pop(values[0], None)
+            self._bodies.pop(values[0], None)
+
+    def bodies(self, names: list[str]) -> dict[str, bytes]:
+        return {name: self._bodies[name] for name in names if name in self._bodies}
+
+
+class DiskOf:
+    """A disk as one life of a process uses it."""
+
+    def __init__(self, life: Life, platter: Platter) -> None:
+        self.life, self.platter = life, platter
+
+    def write(self, rows: list[Row], then: Callable[[str | None], None]) -> None:
+        self.platter.put(rows, lambda error: self.life.do(partial(then, error)))
+
+
+class DrawerOf(DiskOf):
+    """A store's disk, whose bodies can be read."""
+
+    def __init__(self, life: Life, chest: Chest) -> None:
+        super().__init__(life, chest)
+        self.chest = chest
+
+    def read(self, names: list[str], then: Callable[[dict[str, bytes]], None]) -> None:
+        self.platter.put(None, lambda _: self.life.do(lambda: then(self.chest.bodies(names))))
--- /dev/null
+++ b/workshop/jig/endpoints.py
@@ -0,0 +1,303 @@
+"""Stand-ins for endpoints: slots and a queue, run times, failures, answers lost, lives that end and begin."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+
+from workshop.jig.history import Run
+from workshop.jig.network import Life
+from workshop.ports import Called, Delivery, Verdict
+
+if TYPE_CHECKING:
+    from workshop.jig.deployment import Deployment
+
+DELAY_S = 0.0006
+QUEUE = 3
+WITHIN_S = 1.0  # an announcement is acknowledged
+PAUSE_S = 0.2
+DRAIN_S = 3.0
+DROPPED = 0.8  # part of the runs that end when their connection closes
+NOT_RUN = ("amberlug-not-executed", "1")
+
+
+@dataclass(slots=True)
+class Kind:
+    """A service's endpoints."""
+
+    name: str
+    slots: int
+    work_s: float
+    dedup: bool
+    fails: float = 0.02  # part of the runs that are answered with 500
+    lost: float = 0.0  # part of the answers that are lost
+
+
+Answer = Callable[[Called], None]
+
+
+class Endpoint:
+    """One life of an endpoint."""
+
+    def __init__(self, town: Town, name: str, kind: Kind, address: str, zone: str) -> None:
+        self.town, self.name, self.kind, self.address, self.zone = town, name, kind, address, zone
+        self.deployment = town.deployment
+        self.up, self.silent = True, False
+        self.condition = "ready"
+        self._sequence = 0
+        self._beat_at = ""
+        self._runs: dict[Run, tuple[Life, Answer]] = {}
+        self._queue: list[tuple[Run, Delivery, Life, Answer]] = []
+
+    # -- messages
+
+    def take(self, delivery: Delivery, life: Life, sent: float, answer: Answer) -> None:
+        """A message arrives."""
+        names = {name.lower(): value for name, value in delivery.headers}
+        about = ("amberlug-attempt-id", delivery.attempt)
+        if names.get("amberlug-target-instance", self.name) != self.name:
+            answer(Called(Verdict.ANSWERED, 421, (about, NOT_RUN)))
+            return
+        now, history = self.deployment.clock.now, self.deployment.history
+        run = Run(
+            delivery.attempt, self.name, self.kind.name, life.name, sent, now,
+            int(names["amberlug-time-remaining"]) / 1000, delivery.body,
+        )  # fmt: skip
+        history.runs.append(run)
+        first = self.town.done.get(delivery.attempt) if self.kind.dedup else None
+        if first == "":
+            answer(Called(Verdict.ANSWERED, 409, (about, NOT_RUN)))
+        elif first is not None:
+            answer(Called(Verdict.ANSWERED, 200, (about, ("amberlug-server-seal", first))))
+        elif len(self._runs) + len(self._queue) >= self.kind.slots + QUEUE:
+            answer(Called(Verdict.ANSWERED, 503, (about, NOT_RUN)))
+        else:
+            self._queue.append((run, delivery, life, answer))
+            self._pump()
+
+    def _pump(self) -> None:
+        clock, chance = self.deployment.clock, self.town.chance
+        while self._queue and len(self._runs) < self.kind.slots:
+            run, delivery, life, answer = self._queue.pop(0)
+            left = run.seconds - (clock.now - run.arrived)
+            if life.over or left <= 0:
+                continue
+            run.began = clock.now
+            self._runs[run] = life, answer
+            if self.kind.dedup:
+                self.town.done[run.attempt] = ""
+            work = self.kind.work_s * chance.uniform(0.5, 1.6)
+            clock.later(min(work, left), partial(self._end, run, delivery, work <= left))
+
+    def _end(self, run: Run, delivery: Delivery, whole: bool) -> None:
+        if run not in self._runs:
+            return
+        _, answer = self._runs.pop(run)
+        fate = self.town.fate(delivery)
+        status = {"dead": 422, "fails": 500}.get(fate, 200)
+        if status == 200 and self.town.chance.random() < self.kind.fails:
+            status = 500
+        headers = [("amberlug-attempt-id", run.attempt)]
+        run.ended = self.deployment.clock.now
+        if not whole:
+            status, run.what = 504, "stopped"
+        elif status == 200:
+            run.what, run.seal = "done", f"{self.name}.{self.town.next_number()}"
+            headers.append(("amberlug-server-seal", run.seal))
+        else:
+            run.what = "dead" if status == 422 else "failed"
+        if self.kind.dedup:
+            if run.seal:
+                self.town.done[run.attempt] = run.seal
+            else:
+                del self.town.done[run.attempt]
+
+        def read(called: Called) -> None:
+            answer(called)
+
+        if self.town.chance.random() < self.kind.lost:
+            if self.town.chance.random() < 0.5:
+                read(Called(Verdict.BROKEN))
+        else:
+            answer(Called(Verdict.ANSWERED, status, tuple(headers)))
+        self._pump()
+
+    def closed(self, life: Life) -> None:
+        """A sender's process has ended: most of what it has here is dropped."""
+        self._queue = [it for it in self._queue if it[2] is not life]
+        for run, (by, _) in list(self._runs.items()):
+            if by is life and self.town.chance.random() < DROPPED:
+                self._stop(run)
+        self._pump()
+
+    def _stop(self, run: Run) -> None:
+        del self._runs[run]
+        run.ended, run.what = self.deployment.clock.now, "stopped"
+        if self.kind.dedup:
+            self.town.done.pop(run.attempt, None)
+
+    def crash(self, silent: bool) -> None:
+        """It ends without a word; with its machine, its connections are silent."""
+        self.up, self.silent = False, silent
+        waiting = [answer for _, answer in self._runs.values()] + [it[3] for it in self._queue]
+        for run in list(self._runs):
+            self._stop(run)
+        self._queue.clear()
+        if not silent:
+            for answer in waiting:
+                answer(Called(Verdict.BROKEN))
+
+    # -- the list
+
+    def begin(self) -> None:
+        """Announce itself from now on."""
+        if self.up and self.condition == "ready":
+            self._announce(lambda ok: None)
+            self.deployment.clock.later(self.deployment.heartbeat_s, self.begin)
+
+    def _announce(self, then: Callable[[bool], None]) -> None:
+        self._sequence += 1
+        body = {
+            "targetService": self.kind.name, "address": self.address, "zone": self.zone, "edition": "v1",
+            "capacity": self.kind.slots, "condition": self.condition, "warmupLeftMs": 0,
+            "sequence": self._sequence,
+        }  # fmt: skip
+        self._call(f"/-/Instances.Announce/{self.name}", json.dumps(body).encode(), 4, then)
+
+    def _call(self, target: str, body: bytes, tries: int, then: Callable[[bool], None]) -> None:
+        deployment = self.deployment
+        core = next((it for it in deployment.cores if it.control == self._beat_at), None)
+        if core is None:
+            core = self.town.chance.choice(deployment.cores)
+        self._beat_at = ""
+
+        def hear(status: int, said: object) -> None:
+            if status // 100 == 2:
+                self._beat_at = said.get("heartbeatUri", "") if isinstance(said, dict) else ""
+                then(True)
+            elif tries > 1 and self.up:
+                deployment.clock.later(PAUSE_S, lambda: self._call(target, body, tries - 1, then))
+            else:
+                then(False)
+
+        deployment.control(core, "POST", target, body, WITHIN_S, hear)
+
+    def leave(self, linger_s: float, gone: Callable[[], None]) -> None:
+        """A planned end: say so, serve on for a while, say goodbye and end."""
+        self.condition = "draining"
+        deployment = self.deployment
+
+        def drained(ok: bool) -> None:
+            if ok:
+                deployment.history.drained.setdefault(self.name, deployment.clock.now)
+                deployment.history.say(f"{self.name} is acknowledged as draining")
+                self.town.on_drained()
+            deployment.clock.later(DRAIN_S + linger_s, say_gone)
+
+        def say_gone() -> None:
+            if self.up:
+                self._call(f"/-/Instances.Deregister/{self.name}", b"{}", 3, end)
+
+        def end(ok: bool) -> None:
+            if self.up:
+                self.crash(False)
+                gone()
+
+        self._announce(drained)
+
+
+class Town:
+    """All endpoints."""
+
+    def __init__(self, deployment: Deployment, kinds: list[Kind]) -> None:
+        self.deployment, self.chance = deployment, deployment.draw("endpoints")
+        self.kinds = {it.name: it for it in kinds}
+        self.all: list[Endpoint] = []
+        self.at: dict[str, Endpoint] = {}
+        self.done: dict[str, str] = {}  # the shared table of ids: seal of the first success, or empty
+        self.fates: dict[str, str] = {}  # of messages that can't be done, by attempt
+        self.on_drained: Callable[[], None] = lambda: None
+        self._numbers = 0
+
+    def next_number(self) -> int:
+        self._numbers += 1
+        return self._numbers
+
+    def fate(self, delivery: Delivery) -> str:
+        return self.fates.get(delivery.attempt, "")
+
+    def start(self, service: str, zone: str, address: str = "") -> Endpoint:
+        """A new life, at an address of its own or at one that another life has left."""
+        number = self.next_number()
+        address = address or f"10.100.{number // 250}.{number % 250 + 1}:8080"
+        endpoint = Endpoint(self, f"i-{number:x}", self.kinds[service], address, zone)
+        self.all.append(endpoint)
+        self.at[address] = endpoint
+        self.deployment.history.say(f"{endpoint.name} of {service} starts at {address}")
+        self.deployment.clock.later(self.chance.uniform(0.0, 0.3), endpoint.begin)
+        return endpoint
+
+    def up(self, service: str = "") -> list[Endpoint]:
+        """Those that are ready."""
+        return [
+            it
+            for it in self.all
+            if it.up and it.condition == "ready" and service in ("", it.kind.name)
+        ]  # fmt: skip
+
+    def closed(self, life: Life) -> None:
+        for endpoint in self.all:
+            if endpoint.up:
+                endpoint.closed(life)
+
+
+class Caller:
+    """Calls of one edge's process to endpoints."""
+
+    def __init__(self, town: Town, life: Life) -> None:
+        self.town, self.life = town, life
+        self._kept: set[str] = set()
+
+    def idle(self, address: str) -> int:
+        return int(address in self._kept)
+
+    def forget(self, address: str) -> None:
+        self._kept.discard(address)
+
+    def call(self, delivery: Delivery, then: Callable[[Called], None]) -> None:
+        clock, life = self.town.deployment.clock, self.life
+        sent = clock.now
+        over = False
+
+        def end(called: Called) -> None:
+            nonlocal over
+            if over:
+                return
+            over = True
+            if called.verdict is Verdict.ANSWERED:
+                self._kept.add(delivery.address)
+                for run in reversed(self.town.deployment.history.runs):
+                    if run.sent == sent and run.attempt == delivery.attempt:
+                        run.read = clock.now
+                        break
+            else:
+                self._kept.discard(delivery.address)
+            then(called)
+
+        def back(called: Called) -> None:
+            clock.later(DELAY_S, lambda: life.do(partial(end, called)))
+
+        def arrive() -> None:
+            endpoint = self.town.at.get(delivery.address)
+            if life.over:
+                return
+            if endpoint is not None and endpoint.up:
+                endpoint.take(delivery, life, sent, back)
+            elif endpoint is None or not endpoint.silent:
+                back(Called(Verdict.UNREACHED))
+
+        clock.later(delivery.seconds, lambda: life.do(partial(end, Called(Verdict.SILENT))))
+        clock.later(DELAY_S, arrive)
--- /dev/null
+++ b/workshop/jig/hunt.py
@@ -0,0 +1,31 @@
+"""Many days in many processes, for what breaks a rule."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+
+from absl import logging
+
+from workshop.jig.days import play
+from workshop.jig.history import Broken
+from workshop.jig.mutants import mutated
+
+Found = tuple[int, list[Broken]]
+
+
+def one(seed: int, aim: str = "", mutant: str = "") -> Found:
+    """Play one day, with the program as it is or with a fault put into it."""
+    logging.set_verbosity(logging.FATAL)
+    with mutated(mutant):
+        return seed, play(seed, aim)
+
+
+def hunt(seeds: range, aim: str = "", mutant: str = "", jobs: int = 6) -> Iterator[Found]:
+    """Play the days of these seeds; each with its broken rules, in the order of the seeds."""
+    if jobs == 1:
+        yield from (one(seed, aim, mutant) for seed in seeds)
+        return
+    with ProcessPoolExecutor(jobs) as pool:
+        yield from pool.map(partial(one, aim=aim, mutant=mutant), seeds, chunksize=2)
--- /dev/null
+++ b/workshop/jig/mutants.py
@@ -0,0 +1,175 @@
+"""Faults put into the program, each of which the jig must find."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import AbstractContextManager, contextmanager, nullcontext
+from typing import Any
+from unittest.mock import patch
+
+from result import Ok, Result
+
+from workshop.crib.orders import Said, Say
+from workshop.lathe import spread
+from workshop.lathe.message import Message
+from workshop.lathe.shards import Shards, Taken
+from workshop.lathe.spread import Put, Spread
+from workshop.machine import core, edge
+from workshop.machine.core import Core
+from workshop.machine.edge import Edge
+from workshop.machine.store import Store
+from workshop.ports import Json, Lost, Reply
+from workshop.settings import Settings
+from workshop.vise.agree import Saved
+from workshop.whistle.news import News
+
+Mutant = Callable[[], AbstractContextManager[Any]]
+
+
+def _first_sync() -> AbstractContextManager[Any]:
+    """202 before the second sync."""
+    hear = spread._Putting._hear
+
+    def first(self: spread._Putting, name: str, reply: Result[Reply, Lost]) -> None:
+        if isinstance(reply, Ok) and reply.ok_value.body.get("ok"):
+            self.message.holders.add(name)
+            self._end(Put.HELD)
+        else:
+            hear(self, name, reply)
+
+    return patch.object(spread._Putting, "_hear", first)
+
+
+def _old_vote() -> AbstractContextManager[Any]:
+    """A wiped voter votes as its old self."""
+
+    def blank(settings: Settings, chance: Callable[[int], int]) -> Saved:
+        return Saved(f"{settings.ip}/0", members=core.founding(settings))
+
+    return patch("workshop.jig.deployment.blank", blank)
+
+
+def _no_fence() -> AbstractContextManager[Any]:
+    """A take-over without a fence."""
+    return patch.object(Store, "_fenced", lambda self, shard, epoch: False)
+
+
+def _drain_alone() -> AbstractContextManager[Any]:
+    """A drain acknowledged by one machine alone."""
+
+    def leave(self: Core, name: str, rank: int, sequence: int, said: Json | None, say: Say) -> None:
+        self.cell.leaves(name, rank, sequence, said)
+        say(Said(200, {}))
+
+    return patch.object(Core, "_leave", leave)
+
+
+def _config_back() -> AbstractContextManager[Any]:
+    """An edge takes any configuration that it hears, also one that it had before."""
+    offer, config_is = News.offer, Edge._config_is
+
+    def any_offer(self: News, key: str, version: list[int], value: Any) -> bool:
+        known = self.items.get(key)
+        if key == "config" and known is not None and known[0] > version:
+            self._heard(key, value)
+            return False
+        return offer(self, key, version, value)
+
+    def any_config(self: Edge, routes: Any) -> None:
+        self.routes = edge.Routes()
+        config_is(self, routes)
+
+    return _both(patch.object(News, "offer", any_offer), patch.object(Edge, "_config_is", any_config))
+
+
+@contextmanager
+def _both(*those: AbstractContextManager[Any]) -> Iterator[None]:
+    with those[0], those[1]:
+        yield
+
+
+def _order_lost() -> AbstractContextManager[Any]:
+    """A new owner has messages in the order of their names."""
+    serve = Shards._serve
+
+    def by_name(self: Shards, load: Any) -> None:
+        for number, name in enumerate(sorted(load.found, key=lambda it: it.partition("-")[2])):
+            load.found[name].order = (0, number)
+        serve(self, load)
+
+    return patch.object(Shards, "_serve", by_name)
+
+
+def _unclear_refused() -> AbstractContextManager[Any]:
+    """A 503 after a write whose fate is open."""
+    end = edge._Offer._end
+
+    def refuse(self: edge._Offer, taken: Taken) -> None:
+        end(self, Taken.REFUSED if taken is Taken.UNCLEAR else taken)
+
+    return patch.object(edge._Offer, "_end", refuse)
+
+
+def _forgotten_end() -> AbstractContextManager[Any]:
+    """Who ends as planned forgets the outcomes that it has not told."""
+    mark = Spread.mark
+    leave, idle = Edge.leave, Edge.idle.fget
+    assert idle is not None, "idle is read"
+
+    def leaves(self: Edge) -> None:
+        leave(self)
+        self.spread._marks.clear()
+
+    def forget(self: Spread, message: Message, end: str, seal: str) -> None:
+        if end == "done" and getattr(self, "leaving", False):
+            return
+        mark(self, message, end, seal)
+
+    def going(self: Edge) -> None:
+        leaves(self)
+        self.spread.__dict__["leaving"] = True
+
+    return _both(patch.object(Edge, "leave", going), patch.object(Spread, "mark", forget))
+
+
+def _failed_early() -> AbstractContextManager[Any]:
+    """A name is answered `failed` while its message is open."""
+    mine = Edge._mine
+
+    def failed(self: Edge, name: str) -> tuple[str, str] | None:
+        message = self.rack.messages.get(name)
+        return ("dead", "") if message is not None and message.failures else mine(self, name)
+
+    return patch.object(Edge, "_mine", failed)
+
+
+def _rate_alone() -> AbstractContextManager[Any]:
+    """Each edge spends the whole rate of a service."""
+
+    def spend(self: Edge, part: float) -> None:
+        self._part = part
+        for name, it in self.routes.services.items():
+            if name in self.services:
+                self.services[name].rate_is(it.rate, 1.0)
+
+    return patch.object(Edge, "_spend", spend)
+
+
+# By name: the fault, and the aim of the days in which it is looked for.
+MUTANTS: Mapping[str, tuple[Mutant, str]] = {
+    "first-sync": (_first_sync, "closing"),
+    "old-vote": (_old_vote, "core"),
+    "no-fence": (_no_fence, "freeze"),
+    "drain-alone": (_drain_alone, "drain"),
+    "config-back": (_config_back, "edges"),
+    "order-lost": (_order_lost, "edges"),
+    "unclear-refused": (_unclear_refused, "edges"),
+    "forgotten-end": (_forgotten_end, "roll"),
+    "failed-early": (_failed_early, "quiet"),
+    "rate-alone": (_rate_alone, "rate"),
+}
+
+
+def mutated(name: str) -> AbstractContextManager[Any]:
+    """The program with a fault, while the context lasts; as it is where there is no name."""
+    return MUTANTS[name][0]() if name else nullcontext()
--- /dev/null
+++ b/workshop/jig/network.py
@@ -0,0 +1,314 @@
+"""Machines' processes and the connections between them, as `workshop.belt` and the kernel would have them."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from result import Err, Ok
+
+from workshop.jig.clock import Clock, Timer
+from workshop.ports import Json, Lost, Reply, Then
+
+DIAL_S = 0.7  # until a connection that does not come up is given up
+GIVE_UP_S = 1.5  # until one whose bytes are not acknowledged is closed by the kernel
+AGAIN_S = (0.05, 0.6)  # after a cut, until the kernel sends again
+LOST_S = 0.2  # what a lost packet costs
+
+
+class Host:
+    """A machine on the network, with the one process that may run on it."""
+
+    def __init__(self, name: str, zone: str, address: str) -> None:
+        self.name, self.zone, self.address = name, zone, address
+        self.powered = True
+        self.life: Life | None = None
+        self.loss = 0.0  # part of its packets that are lost
+
+
+class Life:
+    """One life of a process; what is to happen in it waits while it is frozen and is dropped when it is over."""
+
+    def __init__(self, host: Host, number: int, failed: Callable[[Life, AssertionError], None]) -> None:
+        self.host, self.number, self._failed = host, number, failed
+        self.name = f"{host.name}#{number}"
+        self.machine: Any = None
+        self.over = False
+        self.frozen = False
+        self.links: dict[str, Link] = {}
+        self.incoming: dict[Link, None] = {}
+        self.calls: dict[Callable[[], None], None] = {}  # from outside and unanswered: what closes each
+        self._waiting: list[Callable[[], None]] = []
+
+    def do(self, act: Callable[[], None]) -> None:
+        """Have something happen in this process."""
+        if self.over:
+            return
+        if self.frozen:
+            self._waiting.append(act)
+            return
+        try:
+            act()
+        except AssertionError as error:
+            self._failed(self, error)
+
+    def thaw(self, chance: random.Random) -> None:
+        """Run again: what has piled up happens, timers before or after what came from outside."""
+        self.frozen = False
+        waiting, self._waiting = self._waiting, []
+        first = chance.random() < 0.5
+        waiting.sort(key=lambda act: (getattr(act, "__name__", "") == "fire") != first)
+        for act in waiting:
+            self.do(act)
+
+
+class Network:
+    """Addresses, delays, cuts and losses."""
+
+    def __init__(self, clock: Clock, chance: random.Random, between_zones: float) -> None:
+        self.clock, self.chance, self.between_zones = clock, chance, between_zones
+        self.hosts: dict[str, Host] = {}  # by address
+        self.numbers = itertools.count(1)
+        self._cuts: set[tuple[str, str]] = set()
+        self._held: dict[Link, None] = {}
+
+    def delay(self, a: Host, b: Host) -> float:
+        """How long a packet takes now."""
+        seconds = 0.0002 if a.zone == b.zone else self.between_zones
+        loss = a.loss + b.loss
+        if loss and self.chance.random() < loss:
+            seconds += LOST_S
+        return seconds + self.chance.expovariate(20000)
+
+    def is_cut(self, a: Host, b: Host) -> bool:
+        return (a.name, b.name) in self._cuts
+
+    def cut(self, pairs: set[tuple[str, str]]) -> None:
+        """Nothing gets from the first to the second of each pair."""
+        self._cuts |= pairs
+
+    def join(self, pairs: set[tuple[str, str]]) -> None:
+        """Undo cuts: what was held up arrives a little later, where its sender still waits."""
+        self._cuts -= pairs
+        held, self._held = self._held, {}
+        for link in held:
+            self.clock.later(self.chance.uniform(*AGAIN_S), link.flush)
+
+    def hold(self, link: Link) -> None:
+        self._held[link] = None
+
+    def link(self, source: Life, to: str) -> Link:
+        """The connection of a process to an address; it is opened where there is none."""
+        found = source.links.get(to)
+        if found is None:
+            found = source.links[to] = Link(self, source, to)
+        return found
+
+    def reset(self, host: Host) -> None:
+        """Reset all connections of a machine's process."""
+        if host.life is not None:
+            for link in [*host.life.links.values(), *host.life.incoming]:
+                link.close(0, Lost.BROKEN, False)
+                link.close(1, Lost.BROKEN, False)
+
+
+class Link:
+    """A connection that one process opened to another: words go out on it and replies come back."""
+
+    def __init__(self, net: Network, source: Life, to: str) -> None:
+        self.net, self.to = net, to
+        self.ends: list[Life | None] = [source, None]
+        self.open = [True, False]
+        self._waiting: list[tuple[int | None, Callable[[], None]]] | None = []  # None once it is up
+        self._asked: dict[int, tuple[Then, Timer]] = {}
+        self._last = [0.0, 0.0]
+        self._held: list[list[Callable[[], None]]] = [[], []]
+        host = net.hosts.get(to)
+        net.clock.later(DIAL_S, self._not_up)
+        if host is not None:
+            net.clock.later(net.delay(source.host, host), partial(self._knock, host))
+
+    def _host(self, side: int) -> Host:
+        end = self.ends[side]
+        assert end is not None, "a connection that is up has two ends"
+        return end.host
+
+    # -- coming up
+
+    def _not_up(self) -> None:
+        if self._waiting is not None:
+            self.close(0, Lost.UNSENT, False)
+
+    def _knock(self, host: Host) -> None:
+        net, here = self.net, self._host(0)
+        if not host.powered or net.is_cut(here, host) or net.is_cut(host, here) or not self.open[0]:
+            return
+        back = net.delay(host, here)
+        if host.life is None or host.life.over:
+            net.clock.later(back, self._not_up)
+            return
+        self.ends[1], self.open[1] = host.life, True
+        host.life.incoming[self] = None
+        net.clock.later(back, self._up)
+
+    def _up(self) -> None:
+        waiting, self._waiting = self._waiting or [], None
+        if self.open[0]:
+            for _, act in waiting:
+                self._transmit(0, act)
+
+    # -- words and replies
+
+    def send(self, word: str, body: Json, blob: bytes) -> None:
+        """Send; nobody hears whether it came."""
+        self._send(None, partial(self._arrive, None, word, json.dumps(body), blob))
+
+    def ask(self, word: str, body: Json, blob: bytes, within: float, then: Then) -> None:
+        """Send, and have `then` hear once what came of it."""
+        number = next(self.net.numbers)
+        source = self.ends[0]
+        assert source is not None, "a connection has an opener"
+        timer = Timer(partial(self._late, number))
+        self._asked[number] = then, timer
+        self.net.clock.later(within, partial(source.do, timer.fire))
+        self._send(number, partial(self._arrive, number, word, json.dumps(body), blob))
+
+    def _send(self, number: int | None, act: Callable[[], None]) -> None:
+        if self._waiting is not None:
+            self._waiting.append((number, act))
+        else:
+            self._transmit(0, act)
+
+    def _late(self, number: int) -> None:
+        found = self._asked.pop(number, None)
+        if found is None:
+            return
+        unsent = self._waiting is not None and any(it[0] == number for it in self._waiting)
+        if self._waiting is not None:
+            self._waiting = [it for it in self._waiting if it[0] != number]
+        found[0](Err(Lost.UNSENT if unsent else Lost.SILENT))
+
+    def _arrive(self, number: int | None, word: str, text: str, blob: bytes) -> None:
+        life, source = self.ends[1], self.ends[0]
+        assert life is not None, "a word arrives somewhere"
+        assert source is not None, "a word comes from somewhere"
+
+        def respond(body: Json, blob: bytes = b"") -> None:
+            if number is not None and self.open[1]:
+                self._transmit(1, partial(self._replied, number, json.dumps(body), blob))
+
+        def hear() -> None:
+            handler = life.machine.words.get(word)
+            if handler is not None:
+                handler(json.loads(text), blob, source.host.address, respond)
+
+        life.do(hear)
+
+    def _replied(self, number: int, text: str, blob: bytes) -> None:
+        source = self.ends[0]
+        assert source is not None, "a connection has an opener"
+
+        def hear() -> None:
+            found = self._asked.pop(number, None)
+            if found is not None:
+                found[1].cancel()
+                found[0](Ok(Reply(json.loads(text), blob)))
+
+        source.do(hear)
+
+    # -- on the wire
+
+    def _transmit(self, side: int, act: Callable[[], None]) -> None:
+        net = self.net
+        arrival = max(self._last[side], net.clock.now + net.delay(self._host(side), self._host(1 - side)))
+        self._last[side] = arrival
+        net.clock.later(arrival - net.clock.now, partial(self._land, side, act))
+
+    def _land(self, side: int, act: Callable[[], None]) -> None:
+        net, here, there = self.net, self._host(side), self._host(1 - side)
+        if self._held[side] or net.is_cut(here, there):
+            self._held[side].append(act)
+            net.hold(self)
+            self._await_acknowledgement(side)
+            return
+        if not there.powered:
+            self._await_acknowledgement(side)
+        elif not self.open[1 - side]:
+            # Nobody holds this connection there: it is reset.
+            net.clock.later(net.delay(there, here), lambda: self.close(side, Lost.BROKEN, False))
+        else:
+            if net.is_cut(there, here):
+                self._await_acknowledgement(side)
+            act()
+
+    def _await_acknowledgement(self, side: int) -> None:
+        self.net.clock.later(GIVE_UP_S, partial(self._give_up, side))
+
+    def _give_up(self, side: int) -> None:
+        here, there = self._host(side), self._host(1 - side)
+        if self._held[side] or self.net.is_cut(there, here) or not there.powered:
+            self.close(side, Lost.BROKEN, True)
+
+    def flush(self) -> None:
+        """What was held up by a cut that is over arrives."""
+        for side in (0, 1):
+            held, self._held[side] = self._held[side], []
+            for act in held:
+                self._land(side, act)
+
+    def close(self, side: int, why: Lost, tell: bool) -> None:
+        """One end is closed, and the other one hears of it if it is told."""
+        if not self.open[side]:
+            return
+        self.open[side] = False
+        self._held[side] = []
+        me, other = self.ends[side], self.ends[1 - side]
+        assert me is not None, "an open end belongs to a process"
+        if side == 0:
+            if me.links.get(self.to) is self:
+                del me.links[self.to]
+            asked, self._asked = self._asked, {}
+            for then, timer in asked.values():
+                timer.cancel()
+                me.do(partial(then, Err(why)))
+            self._waiting = None
+            me.do(lambda: me.machine.broken(self.to))
+        else:
+            me.incoming.pop(self, None)
+            assert other is not None, "a connection has an opener"
+            me.do(lambda: me.machine.broken(other.host.address))
+        if tell and other is not None:
+            self._transmit(side, partial(self.close, 1 - side, Lost.BROKEN, False))
+
+    def silence(self, side: int) -> None:
+        """One end is without power: nothing more comes from it."""
+        self.open[side] = False
+        self._held[side] = []
+
+
+class LifeWorld:
+    """The world as one life of a process sees it."""
+
+    def __init__(self, net: Network, life: Life, chance: random.Random, wall: float) -> None:
+        self.net, self.life, self.chance, self._wall = net, life, chance, wall
+
+    def now(self) -> float:
+        return self.net.clock.now
+
+    def wall(self) -> float:
+        return self._wall + self.net.clock.now
+
+    def later(self, seconds: float, act: Callable[[], None]) -> Timer:
+        timer = Timer(act)
+        self.net.clock.later(seconds, partial(self.life.do, timer.fire))
+        return timer
+
+    def tell(self, to: str, word: str, body: Json, blob: bytes = b"") -> None:
+        self.net.link(self.life, to).send(word, body, blob)
+
+    def ask(self, to: str, word: str, body: Json, within: float, then: Then, blob: bytes = b"") -> None:
+        self.net.link(self.life, to).ask(word, body, blob, within, then)
