--- a/workshop/jig/checker.py
+++ b/workshop/jig/checker.py
@@ -110,8 +110,8 @@
                         if before.answered_at < later.at and self.ended[before.attempt] > run.began:
                             self._say(
                                 "ORDER",
-                                f"{key}: {later.attempt} sent {later.at:.3f} began {run.began:.3f} by {run.life}"
-                                f" before the end of {before.attempt} accepted {before.answered_at:.3f} ({before.name})",
+                                f"{key}: {later.attempt} sent {later.at:.3f} began {run.began:.3f} by"
+                                f" {run.life} before {before.name}, accepted {before.answered_at:.3f}, ended",
                             )
                             break
 
--- a/workshop/jig/clients.py
+++ b/workshop/jig/clients.py
@@ -173,7 +173,7 @@
         self.deployment.front(edge, Request("GET", f"{path}{name}", (("host", HOST),)), ASKED_S, hear)
 
     def ask_all(self, tries: int) -> None:
-        """At the end of a day: ask for the state of all that was accepted, and for the bytes of what is open."""
+        """At the end of a day: ask how all stands that was accepted, and for the bytes of what is open."""
         for sent in self._accepted:
             self._insist(sent, tries)
 
--- a/workshop/jig/days.py
+++ b/workshop/jig/days.py
@@ -53,13 +53,17 @@
         self.deployment = Deployment(seed, size.zones, size.edges, size.stores, size.cores, kinds, heartbeat)
         self.history, self.clock = self.deployment.history, self.deployment.clock
         rate = 5.0 if aim == "rate" else chance.choice((0.0, 0.0, 8.0))
-        paths = ("/plain/", "/plain/", "/plain/", "/seq/", "/seq/", "/rated/")
+        paths: tuple[str, ...] = ("/plain/", "/plain/", "/plain/", "/seq/", "/seq/", "/rated/")
         if aim == "rate":
             paths = ("/plain/", "/seq/", "/rated/", "/rated/")
         load = Load(size.rate, paths, frozenset(("/seq/",)), chance.choice((4, 10, 30)))
         self.clients = Clients(self.deployment, load)
         first = {
-            "routeTable": [route("/plain/", "alpha"), route("/seq/", "beta", True, rank=0), route("/rated/", "gamma")],
+            "routeTable": [
+                route("/plain/", "alpha"),
+                route("/seq/", "beta", True, rank=0),
+                route("/rated/", "gamma"),
+            ],
             "serviceTable": [service("alpha"), service("beta", dedup=dedup), service("gamma", rate, dedup)],
             "limits": {"maxHeaderBytes": 16384},
         }  # fmt: skip
@@ -73,7 +77,7 @@
         for name, count in (("alpha", 4), ("beta", 3), ("gamma", 2)):
             for number in range(count):
                 zone = self.deployment.zones[number % self.size.zones]
-                self.clock.later(1.2, partial(self.deployment.town.start, name, zone))
+                self.clock.later(1.2, partial(self._start, name, zone))
         self.clock.later(0.6, self.operator.begin)
         self.clients.begin()
         self.clock.run(TRAFFIC_S)
@@ -124,13 +128,19 @@
             which = min(free, key=lambda name: free[name])
             act = chance.choice(system if which == "system" else others)
             at = free[which]
-            # Drawn here, so that what one trouble does does not change when the others come.
-            self.clock.later(at - self.clock.now, act)
+            self.clock.later(at - self.clock.now, partial(self._do, act))
             free[which] = at + (
                 chance.uniform(BACK_S + 3.5, BACK_S + 6.0) if which == "system" else chance.uniform(0.4, 3.0)
             )
         if self.aim in ("closing", "core") or (not self.aim and chance.random() < 0.25):
-            self.clock.later(end + 1.0 - self.clock.now, self._close)
+            self.clock.later(end + 1.0 - self.clock.now, partial(self._do, self._close))
+
+    @staticmethod
+    def _do(act: Callable[[], float]) -> None:
+        act()
+
+    def _start(self, service: str, zone: str, address: str = "") -> None:
+        self.deployment.town.start(service, zone, address)
 
     def _any(self, machines: list[Machine]) -> Machine:
         return self.chance.choice(machines)
@@ -330,11 +340,10 @@
             reuse = "" if self.chance.random() < 0.5 else victim.address
             names = list(self.deployment.town.kinds)
             other = victim.kind.name if not reuse else self.chance.choice(names)
-            town = self.deployment.town
             if reuse:
-                self.clock.later(2.2, lambda: town.start(other, victim.zone, reuse))
+                self.clock.later(2.2, partial(self._start, other, victim.zone, reuse))
             if other != victim.kind.name or not reuse:
-                self.clock.later(1.0, lambda: town.start(victim.kind.name, victim.zone))
+                self.clock.later(1.0, partial(self._start, victim.kind.name, victim.zone))
         return 0.0
 
     def _replace(self) -> float:
--- a/workshop/jig/deployment.py
+++ b/workshop/jig/deployment.py
@@ -1,4 +1,4 @@
-"""The machines of a deployment: started, killed, frozen, rolled and wiped, with calls to them from outside."""
+"""A deployment's machines: started, killed, frozen, rolled and wiped, with calls to them from outside."""
 
 from __future__ import annotations
 
@@ -27,9 +27,9 @@
 STOP_S = 0.02  # a core's or a store's planned end
 REFUSED, CLOSED, SILENT = 0, -1, -2  # instead of an answer's status
 BOUNDS = {
-    "seedLagS": 3.0, "reuseAfterS": 2.0, "contactMs": 4000.0, "ackMs": 5000.0, "catchUpS": 4.5, "drainMs": 3000.0,
-    "graceS": 6.0, "configApplyMs": 3000.0, "completedS": 10.0, "statusTtlS": 120.0, "earlyMs": 100.0,
-    "ceilingWindowS": 5.0, "ceilingOver": 1.1,
+    "seedLagS": 3.0, "reuseAfterS": 2.0, "contactMs": 4000.0, "ackMs": 5000.0, "catchUpS": 4.5,
+    "drainMs": 3000.0, "graceS": 6.0, "configApplyMs": 3000.0, "completedS": 10.0, "statusTtlS": 120.0,
+    "earlyMs": 100.0, "ceilingWindowS": 5.0, "ceilingOver": 1.1,
 }  # fmt: skip
 
 
@@ -92,7 +92,8 @@
         else:
             life.machine = Edge(world, settings, self.address, Caller(deployment.town, life))
         self.first = False
-        life.do(life.machine.begin)
+        part: Any = life.machine
+        life.do(part.begin)
 
     def kill(self) -> None:
         """The process ends at once; its connections are reset."""
--- a/workshop/jig/disk.py
+++ b/workshop/jig/disk.py
@@ -100,8 +100,8 @@
         it = self._saved
         text = json.dumps([it.state, it.members, it.entries])
         state, members, entries = json.loads(text)
-        rows = [(term, command) for term, command in entries]
-        return Saved(it.me, it.term, it.vote, it.start, it.start_term, state, members, rows)
+        pairs = [(row[0], row[1]) for row in entries]
+        return Saved(it.me, it.term, it.vote, it.start, it.start_term, state, members, pairs)
 
     def wipe(self) -> None:
         self._saved = None
--- a/workshop/jig/mutants.py
+++ b/workshop/jig/mutants.py
@@ -10,15 +10,16 @@
 from result import Ok, Result
 
 from workshop.crib.orders import Said, Say
+from workshop.hatch.routes import Routes
 from workshop.lathe import spread
 from workshop.lathe.message import Message
 from workshop.lathe.shards import Shards, Taken
-from workshop.lathe.spread import Put, Spread
+from workshop.lathe.spread import Put
 from workshop.machine import core, edge
 from workshop.machine.core import Core
 from workshop.machine.edge import Edge
 from workshop.machine.store import Store
-from workshop.ports import Json, Lost, Reply
+from workshop.ports import Called, Json, Lost, Reply
 from workshop.settings import Settings
 from workshop.vise.agree import Saved
 from workshop.whistle.news import News
@@ -76,7 +77,7 @@
         return offer(self, key, version, value)
 
     def any_config(self: Edge, routes: Any) -> None:
-        self.routes = edge.Routes()
+        self.routes = Routes()
         config_is(self, routes)
 
     return _both(patch.object(News, "offer", any_offer), patch.object(Edge, "_config_is", any_config))
@@ -111,25 +112,16 @@
 
 
 def _forgotten_end() -> AbstractContextManager[Any]:
-    """Who ends as planned forgets the outcomes that it has not told."""
-    mark = Spread.mark
-    leave, idle = Edge.leave, Edge.idle.fget
-    assert idle is not None, "idle is read"
+    """Who gives a shard away forgets to tell what came of the calls that it still had out."""
+    finished = Edge._finished
 
-    def leaves(self: Edge) -> None:
-        leave(self)
-        self.spread._marks.clear()
-
-    def forget(self: Spread, message: Message, end: str, seal: str) -> None:
-        if end == "done" and getattr(self, "leaving", False):
-            return
-        mark(self, message, end, seal)
-
-    def going(self: Edge) -> None:
-        leaves(self)
-        self.spread.__dict__["leaving"] = True
+    def forget(self: Edge, message: Message, called: Called) -> None:
+        if message in self._orphans:
+            self._orphans.discard(message)
+        else:
+            finished(self, message, called)
 
-    return _both(patch.object(Edge, "leave", going), patch.object(Spread, "mark", forget))
+    return patch.object(Edge, "_finished", forget)
 
 
 def _failed_early() -> AbstractContextManager[Any]:
--- a/workshop/jig/network.py
+++ b/workshop/jig/network.py
@@ -31,7 +31,7 @@
 
 
 class Life:
-    """One life of a process; what is to happen in it waits while it is frozen and is dropped when it is over."""
+    """One life of a process: what is to happen waits while it is frozen, and is dropped once it is over."""
 
     def __init__(self, host: Host, number: int, failed: Callable[[Life, AssertionError], None]) -> None:
         self.host, self.number, self._failed = host, number, failed
--- a/workshop/jig/operator.py
+++ b/workshop/jig/operator.py
@@ -1,4 +1,4 @@
-"""The operator: configurations whole or by items, invalid ones, races of two, each sent until its answer is clear."""
+"""The operator: configurations whole or by items, invalid ones, races; each is sent until it is clear."""
 
 from __future__ import annotations
 
