Spend an edge's part of a service's rate whole, where it is no whole number

Cause: an account spends whole units, so a part of 1.6 a second let one call a second through; 5 edges spent 5 of 8 a second, and messages of that service piled up for good. Change: the part is rounded up to whole units, and its window is stretched to match: 2 in 1.25 s.

--- /dev/null
+++ b/tests/workshop/test_rates.py
@@ -0,0 +1,46 @@
+"""A service's own rate, spent in parts."""
+
+import random
+from collections.abc import Callable
+from functools import partial
+
+from workshop.jig.clock import Clock
+from workshop.jig.network import Host, Life, LifeWorld, Network
+from workshop.lathe.endpoints import Pool
+from workshop.lathe.message import Message
+from workshop.lathe.service import Service
+from workshop.ports import Called, Delivery, Verdict
+
+
+class OneEndpoint:
+    """Endpoints that answer at once."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.calls = 0
+
+    def idle(self, address: str) -> int:
+        return 1
+
+    def forget(self, address: str) -> None:
+        pass
+
+    def call(self, delivery: Delivery, then: Callable[[Called], None]) -> None:
+        self.calls += 1
+        self.clock.later(0.01, partial(then, Called(Verdict.ANSWERED, 200)))
+
+
+def test_a_part_of_a_rate_is_spent_whole() -> None:
+    clock, chance = Clock(), random.Random(1)
+    net = Network(clock, chance, 0.001)
+    world = LifeWorld(net, Life(Host("edge", "z", "10.0.0.1:7300"), 1, lambda life, error: None), chance, 0.0)
+    pool, endpoints = Pool("z", chance, lambda address: 1), OneEndpoint(clock)
+    pool.heard(
+        "i", {"service": "s", "addr": "a", "zone": "z", "slots": 9, "cond": "ready", "warm_ms": 0}, 0.0
+    )
+    service = Service("s", world, pool, endpoints, lambda: 1, lambda it: 1.0, lambda message, called: None)
+    service.rate_is(8.0, 0.2)
+    for number in range(100):
+        service.add(Message(f"m{number}", 0, f"{number}", "", "GET", "/", "r", "", 0.0, 0.0, service="s"))
+    clock.run(20.0)
+    assert 30 <= endpoints.calls <= 34  # 1.6 a second
--- a/workshop/lathe/service.py
+++ b/workshop/lathe/service.py
@@ -4,11 +4,12 @@
 
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from amberlug.core.usual import message_class, settings
-from stoatusher.account import SECOND, Account
+from stoatusher.account import SECOND, WINDOW_US, Account
 from stoatusher.interface import Effect
 from workshop.lathe.endpoints import FULL_S, Endpoint, Pool
 from workshop.lathe.message import Message
@@ -87,8 +88,14 @@
     def rate_is(self, rate: float, part: float) -> None:
         """A service's own rate: this edge spends its part of it, so that all together keep it."""
         units = rate * part if rate > 0 else float("inf")
-        self.account.units = units
-        self.account.stretched = int(self.account.window / min(1.0, units))
+        account = self.account
+        account.window = WINDOW_US
+        if 1.0 < units < float("inf"):
+            # Only whole units are spent: 1.6 in a window would be one, so the window holds two of 1.25 s.
+            account.window = int(WINDOW_US * math.ceil(units) / units)
+            units = math.ceil(units)
+        account.units = units
+        account.stretched = int(account.window / min(1.0, units))
 
     def add(self, message: Message) -> None:
         """A message is due and the first of its key."""
