Have a message that is copied again keep the place that it was accepted at

Cause: an owner that takes over copies messages again that too few stores hold. Change: a put carries the message's place apart from the epoch that the stores fence by.

--- a/tests/workshop/test_found.py
+++ b/tests/workshop/test_found.py
@@ -7,6 +7,7 @@
 
 from workshop.jig.days import TRAFFIC_S, Day
 from workshop.jig.history import Broken
+from workshop.lathe.message import Message
 
 
 @pytest.fixture(autouse=True)
@@ -47,3 +48,22 @@
 @pytest.mark.parametrize("seed", [2, 6])
 def test_a_message_offered_again_is_not_marked_as_dropped(seed: int) -> None:
     assert rules(CutThenDark(seed).play()) == set()
+
+
+class Calm(Day):
+    """Nothing is done to any machine."""
+
+    def _plan(self, start: float, end: float) -> None:
+        pass
+
+
+def test_a_message_that_is_copied_again_keeps_its_place() -> None:
+    day = Calm(1)
+    day.play()
+    edge = day.deployment.edges[0].part
+    number, shard = next(iter(edge.shards.mine.items()))
+    message = Message(f"{number:x}-again", number, "again", "", "GET", "/", "r", "k", 0.0, 0.0, order=(3, 7))
+    edge.spread.put(message, shard.epoch, lambda put: None)
+    day.clock.run(day.clock.now + 0.5)
+    kept = [it.part.kept.get(message.id) for it in day.deployment.stores]
+    assert {it.place() for it in kept if it is not None} == {(number, 3, 7)}
--- a/workshop/lathe/spread.py
+++ b/workshop/lathe/spread.py
@@ -186,7 +186,7 @@
             "id": message.id,
             "shard": message.shard,
             "epoch": epoch,
-            "seq": message.order[1],
+            "order": message.order,
             "meta": message.meta(),
         }
 
--- a/workshop/machine/store.py
+++ b/workshop/machine/store.py
@@ -81,7 +81,8 @@
         if known is not None and known.end:
             respond({"ok": True, "end": known.end}, b"")
             return
-        kept = Kept(shard, epoch, body["seq"], body["meta"], len(blob))
+        # A message that a later owner copies once more keeps the place that it was accepted at.
+        kept = Kept(shard, *body["order"], body["meta"], len(blob))
         self.kept[name] = kept  # at once, so that an owner who comes now finds it
 
         def done(error: str | None) -> None:
@@ -97,7 +98,7 @@
                 del self.kept[name]
             respond({"full": True}, b"")
 
-        self.drawer.write([("put", (name, shard, epoch, kept.seq, kept.meta, blob))], done)
+        self.drawer.write([("put", (name, shard, kept.epoch, kept.seq, kept.meta, blob))], done)
 
     @on("marks")
     def on_marks(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
