--- a/workshop/jig/checker.py
+++ b/workshop/jig/checker.py
@@ -42,9 +42,9 @@
                 failures.append(run.ended)
         if len(failures) >= self.max_attempts:
             least = min(least, sorted(failures)[self.max_attempts - 1])
-        for version in self.in_force:
-            if version.at >= sent.at and self._prefix(sent) not in version.services:
-                least = min(least, version.at)
+        for version in self._allowed(sent.at - APPLY_S, 1e9):
+            if self._prefix(sent) not in version.services:
+                least = min(least, max(sent.at, version.at))
         return least
 
     @staticmethod
--- a/workshop/machine/store.py
+++ b/workshop/machine/store.py
@@ -82,7 +82,8 @@
             respond({"ok": True, "end": known.end}, b"")
             return
         # A message that a later owner copies once more keeps the place that it was accepted at.
-        kept = Kept(shard, *body["order"], body["meta"], len(blob))
+        number, seq = body["order"]
+        kept = Kept(shard, number, seq, body["meta"], len(blob))
         self.kept[name] = kept  # at once, so that an owner who comes now finds it
 
         def done(error: str | None) -> None:
