Offer the first of a key again once the call of a later one has failed

Cause: a message whose copies took longer than those of a later one of its key came in hand while the later one was out. Change: after a failed call the first of the key is offered.

--- /dev/null
+++ b/tests/workshop/test_rack.py
@@ -0,0 +1,27 @@
+"""What waits at an owner, a key at a time."""
+
+import random
+
+from workshop.jig.clock import Clock
+from workshop.jig.network import Host, Life, LifeWorld, Network
+from workshop.lathe.message import Message
+from workshop.lathe.rack import Rack
+
+
+def message(name: str, number: int) -> Message:
+    return Message(name, 0, name, "", "GET", "/", "r", "k", 0.0, 0.0, order=(1, number))
+
+
+def test_one_accepted_before_goes_once_the_call_of_a_later_one_has_failed() -> None:
+    clock, chance = Clock(), random.Random(1)
+    host = Host("edge", "z", "10.0.0.1:7300")
+    life = Life(host, 1, lambda life, error: None)
+    ready: list[str] = []
+    rack = Rack(LifeWorld(Network(clock, chance, 0.001), life, chance, 0.0), lambda it: ready.append(it.id))
+    later, before = message("later", 2), message("before", 1)
+    rack.add(later)
+    later.out = True
+    rack.add(before)  # its copies took longer
+    assert ready == ["later"]
+    rack.again(later)
+    assert ready == ["later", "before"]
--- a/workshop/lathe/rack.py
+++ b/workshop/lathe/rack.py
@@ -70,7 +70,8 @@
         """One whose call did not end it is offered once more."""
         message.out = False
         if self.messages.get(message.id) is message and not message.ended:
-            self._when_due(message)
+            # One that was accepted before it may have come in hand meanwhile, and waited for this call's end.
+            self._when_due(self.keys[message.key][0] if message.key else message)
 
     def end(self, message: Message) -> None:
         """One has ended: the next of its key may begin."""
