Make copies anew for lost, wiped and retiring stores, and know each store by its disk

Need: a store that came back empty counted as one that would know (its name was on the roster), nobody restored the copies that it had held, and a store could not be retired. A store that was killed under a write kept an open copy of a message that had ended elsewhere; once the ends were forgotten, a later owner would have run it again (seen with two stores of a small deployment after a kill).

Change: the roster is kept by disk. A machine that comes back with another disk is another store, its old disk is lost; a store without a session for 1.5 s is lost; a retiring one takes nothing more. Owners copy what too few full disks hold, 16 at a time, and say in their beats how many still lack one; the leader drops a lost or retiring disk only when every owner says none, of the newest roster and table. A disk that was dropped empties itself. Replies name the disk that gave them. Ends are told to whoever may hold a copy, and kept for as long as such a copy could still run. `Retire.Begin` and `Retire.Read`.

--- a/workshop/chest/drawer.py
+++ b/workshop/chest/drawer.py
@@ -20,7 +20,7 @@
 create table if not exists message (
     id text primary key, shard integer not null, epoch integer not null, seq integer not null,
     meta text not null, body blob, sum integer not null,
-    end text not null, seal text not null, ended_at real not null
+    end text not null, seal text not null, keep_until real not null
 ) without rowid;
 """
 
@@ -36,7 +36,7 @@
     size: int
     end: str = ""
     seal: str = ""
-    ended_at: float = 0.0
+    keep_until: float = 0.0  # time of day: an end is told until then, and while a copy might be found open
 
     def place(self) -> tuple[int, int, int]:
         """Its shard, and its order there."""
@@ -50,6 +50,7 @@
     disk: str
     fences: dict[int, int] = field(default_factory=dict)
     kept: dict[str, Kept] = field(default_factory=dict)
+    enrolled: int = 0
     spoilt: list[str] = field(default_factory=list)  # rows whose check sum is wrong: as if they weren't here
 
 
@@ -70,7 +71,7 @@
             name, shard, end, seal, at = values
             keep = "" if end == "dead" else ", body = null"
             done = base.execute(
-                f"update message set end = ?, seal = ?, ended_at = ?{keep} where id = ?",
+                f"update message set end = ?, seal = ?, keep_until = ?{keep} where id = ?",
                 (end, seal, at, name),
             )
             if done.rowcount == 0:
@@ -80,13 +81,20 @@
                 )
         elif kind == "fence":
             base.execute("insert or replace into fence values (?, ?)", values)
+        elif kind == "enrolled":
+            base.execute("insert or replace into about values ('enrolled', ?)", values)
+        elif kind == "anew":
+            base.execute("delete from message")
+            base.execute("delete from about where name = 'enrolled'")
+            base.execute("insert or replace into about values ('disk', ?)", values)
         elif kind == "drop":
             base.execute("delete from message where id = ?", values)
 
 
-def _load(base: sqlite3.Connection, disk: str) -> Contents:
-    contents = Contents(disk, dict(base.execute("select shard, epoch from fence")))
-    columns = "id, shard, epoch, seq, meta, body, sum, end, seal, ended_at"
+def _load(base: sqlite3.Connection, about: dict[str, Any]) -> Contents:
+    contents = Contents(about["disk"], dict(base.execute("select shard, epoch from fence")))
+    contents.enrolled = int(about.get("enrolled", 0))
+    columns = "id, shard, epoch, seq, meta, body, sum, end, seal, keep_until"
     for name, shard, epoch, seq, meta, body, total, end, seal, at in base.execute(
         f"select {columns} from message"
     ):
@@ -136,7 +144,7 @@
         base = open_file(path, SCHEMA)
         about = dict(base.execute("select name, value from about"))
         if about.get("format") == str(FORMAT):
-            return _load(base, about["disk"]), Drawer(base, post)
+            return _load(base, about), Drawer(base, post)
     except (sqlite3.Error, ValueError):
         about = {"spoilt": True}
     if about:
--- a/workshop/jig/disk.py
+++ b/workshop/jig/disk.py
@@ -136,7 +136,7 @@
         self.wipe()
 
     def wipe(self) -> None:
-        self._disk = f"{self.chance.getrandbits(64):x}"
+        self._disk, self._enrolled = f"{self.chance.getrandbits(64):x}", 0
         self._fences: dict[int, int] = {}
         self._rows: dict[str, Kept] = {}
         self._bodies: dict[str, bytes] = {}
@@ -144,10 +144,10 @@
     def begun(self) -> Contents:
         """What a process that starts reads."""
         kept = {
-            name: Kept(it.shard, it.epoch, it.seq, dict(it.meta), it.size, it.end, it.seal, it.ended_at)
+            name: Kept(it.shard, it.epoch, it.seq, dict(it.meta), it.size, it.end, it.seal, it.keep_until)
             for name, it in self._rows.items()
         }
-        return Contents(self._disk, dict(self._fences), kept)
+        return Contents(self._disk, dict(self._fences), kept, self._enrolled)
 
     def copied(self, kind: str, values: tuple[Any, ...]) -> tuple[Any, ...]:
         return values
@@ -160,11 +160,17 @@
         elif kind == "end":
             name, shard, end, seal, at = values
             row = self._rows.setdefault(name, Kept(shard, 0, 0, {}, 0))
-            row.end, row.seal, row.ended_at = end, seal, at
+            row.end, row.seal, row.keep_until = end, seal, at
             if end != "dead":
                 self._bodies.pop(name, None)
         elif kind == "fence":
             self._fences[values[0]] = values[1]
+        elif kind == "enrolled":
+            self._enrolled = values[0]
+        elif kind == "anew":
+            self._disk, self._enrolled = values[0], 0
+            self._rows.clear()
+            self._bodies.clear()
         else:
             self._rows.pop(values[0], None)
             self._bodies.pop(values[0], None)
--- a/workshop/lathe/message.py
+++ b/workshop/lathe/message.py
@@ -26,13 +26,17 @@
     body: bytes | None = b""
     size: int = 0
     order: tuple[int, int] = (0, 0)  # epoch and number in it: the order within a key
-    holders: set[str] = field(default_factory=set)
+    holders: set[str] = field(default_factory=set)  # disks that have said that they hold it
+    asked: set[str] = field(default_factory=set)  # disks that may hold it
+    keep_until: float = 0.0  # time of day: its end is told until then at least
     failures: int = 0  # answers of 500
     tries: int = 0
     out: bool = False  # a call of it is under way, here or at the owner before
     ended: bool = False
     service: str = ""
     rank: int = 0  # the route's precedence
+    end: str = ""  # how it ended, and the seal of its success
+    seal: str = ""
     seen: int = 0  # the newest configuration at the edge that took it, as an index of the log
     last: str = ""  # the endpoint that it was last sent to
 
--- a/workshop/lathe/shards.py
+++ b/workshop/lathe/shards.py
@@ -73,6 +73,7 @@
         self.owners: list[tuple[str, Json]] = []
         self.table: list[list[int]] = []
         self.putting: dict[str, list[Callable[[Taken], None]]] = {}
+        self.put_since: dict[str, float] = {}
         self._handed: dict[tuple[int, int], Json] = {}  # what owners before have said, by shard and epoch
         self._early: dict[str, tuple[str, str, bool]] = {}  # outcomes that came before their message was read
         self._loads: list[_Load] = []
@@ -212,6 +213,8 @@
         body, blob, at = reply.ok_value.body, reply.ok_value.blob, 0
         for text in body["refused"]:
             load.shards.pop(int(text), None)  # a newer owner was there already: its table is on its way
+        if body["disk"] != name:
+            return  # the machine has lost the disk that is meant: what it says now is not that one's word
         load.heard.add(name)
         load.listed[name] = set()
         for key, shard, epoch, seq, meta, size, along in body["open"]:
@@ -300,8 +303,6 @@
                 self.away[message.id] = out[message.id]
                 self.world.later(AWAY_S, partial(self._no_outcome, message.id))
             self._take(message)
-            if message.body is not None and not self.spread.enough(message.holders):
-                self.spread.put(message, self.mine[message.shard].epoch, lambda put: None)
         for number, shard in now:
             shard.serving = True
             waiting, shard.waiting = shard.waiting, []
@@ -339,6 +340,7 @@
         shard.numbers += 1
         message.order = shard.epoch, shard.numbers
         self.putting[message.id] = [then]
+        self.put_since[message.id] = self.world.now()
 
         def done(put: Put) -> None:
             said = {Put.HELD: Taken.HELD, Put.REFUSED: Taken.REFUSED, Put.FENCED: Taken.ELSEWHERE}.get(
@@ -348,6 +350,7 @@
             still = held is not None and held.epoch == shard.epoch
             if put is Put.HELD and still:
                 self._take(message)
+            del self.put_since[message.id]
             for answer in self.putting.pop(message.id):
                 answer(said)
 
--- a/workshop/lathe/spread.py
+++ b/workshop/lathe/spread.py
@@ -41,7 +41,6 @@
     zone: str
     region: str
     state: str
-    disk: str
 
     @property
     def place(self) -> tuple[str, str]:
@@ -51,8 +50,9 @@
 class Spread:
     """The stores, as an owner of shards uses them."""
 
-    def __init__(self, world: World, tolerance: Tolerance, zone: str, region: str) -> None:
+    def __init__(self, world: World, tolerance: Tolerance, zone: str, region: str, status_s: float) -> None:
         self.world, self.tolerance, self.zone, self.region = world, tolerance, zone, region
+        self.status_s = status_s  # for how long an end is told
         self.stores: dict[str, StoreAt] = {}
         self._suspect: dict[str, float] = {}
         self._marks: dict[str, dict[str, list[object]]] = {}  # by store: ends that it has not acknowledged
@@ -60,23 +60,27 @@
         self.hedges = 0
 
     def roster_is(self, roster: Json) -> None:
-        """Take the stores of the roster."""
+        """Take the roster: each store by its disk, since a machine that lost its own is another one."""
         self.stores = {
-            name: StoreAt(name, it["addr"], it["zone"], it["region"], it["state"], it["disk"])
-            for name, it in roster.items()
-            if it["state"] != "gone"
+            disk: StoreAt(it["name"], it["addr"], it["zone"], it["region"], it["state"])
+            for disk, it in roster.items()
         }
         for name in set(self._marks) - set(self.stores):
             del self._marks[name]
 
-    def enough(self, names: set[str]) -> bool:
-        """Whether copies at these stores outlast what may be lost."""
-        return self.tolerance.holds([self.stores[name].place for name in names if name in self.stores])
+    def _hold(self, disks: set[str]) -> bool:
+        machines = {self.stores[disk].name: self.stores[disk].place for disk in disks if disk in self.stores}
+        return self.tolerance.holds(list(machines.values()))
+
+    def enough(self, disks: set[str]) -> bool:
+        """Whether copies on these disks outlast what may be lost; lost and retiring ones don't count."""
+        return self._hold(
+            {disk for disk in disks if disk in self.stores and self.stores[disk].state == "full"}
+        )
 
     def knows_all(self, heard: set[str]) -> bool:
-        """Whether these stores tell of every message that is held: the others can't hold one alone."""
-        counted = {name for name in heard if name in self.stores and self.stores[name].state != "filling"}
-        return bool(counted) and not self.enough(set(self.stores) - counted)
+        """Whether these disks tell of every message that is held: the others can't hold one alone."""
+        return bool(heard & set(self.stores)) and not self._hold(set(self.stores) - heard)
 
     def reachable(self) -> bool:
         """Whether a message could be held now."""
@@ -84,7 +88,7 @@
         return self.enough({it for it in self._writable() if self._suspect.get(it, 0.0) <= now})
 
     def _writable(self) -> list[str]:
-        return [name for name, it in self.stores.items() if it.state in ("full", "filling")]
+        return [name for name, it in self.stores.items() if it.state == "full"]
 
     def suspect(self, name: str, seconds: float) -> None:
         self._suspect[name] = max(self._suspect.get(name, 0.0), self.world.now() + seconds)
@@ -117,13 +121,17 @@
 
     def mark(self, message: Message, end: str, seal: str) -> None:
         """Have the stores know how a message ended."""
-        row = [message.id, message.shard, end, seal, round(self.world.wall(), 3)]
-        holders = {name for name in message.holders if name in self.stores}
+        message.end, message.seal = end, seal
+        until = max(self.world.wall() + self.status_s, message.keep_until)
+        row = [message.id, message.shard, end, seal, round(until, 3)]
+        holders = {name for name in message.holders | message.asked if name in self.stores}
         for name in self._ranked(message):
             if self.enough(holders):
                 break
             holders.add(name)
         for name in holders:
+            if self.stores[name].state == "lost":
+                continue
             if not self._marks.get(name) and name not in self._telling:
                 self.world.later(MARK_S, partial(self._tell, name))
             self._marks.setdefault(name, {})[message.id] = row
@@ -134,7 +142,9 @@
 
     @property
     def telling(self) -> int:
-        return sum(len(rows) for rows in self._marks.values())
+        """Ends that stores which answer do not know yet."""
+        now = self.world.now()
+        return sum(len(rows) for name, rows in self._marks.items() if self._suspect.get(name, 0.0) <= now)
 
     def _tell(self, name: str) -> None:
         store, waiting = self.stores.get(name), self._marks.get(name)
@@ -175,8 +185,10 @@
     def __init__(
         self, spread: Spread, message: Message, epoch: int, ranked: list[str], then: Callable[[Put], None]
     ) -> None:
-        self.spread, self.message, self.epoch, self.left, self.then = spread, message, epoch, ranked, then
-        self.asked: set[str] = set()
+        self.spread, self.message, self.epoch, self.then = spread, message, epoch, then
+        # What holds it already is not asked again: a message that lacks a copy gets that one alone.
+        self.asked = {disk for disk in message.holders if disk in ranked}
+        self.left = [disk for disk in ranked if disk not in self.asked]
         self.waiting: set[str] = set()
         self.over = False
         self.unclear = False
@@ -191,7 +203,7 @@
         }
 
     def begin(self) -> None:
-        if not self.spread.enough(set(self.left)):
+        if not self.spread.enough(self.asked | set(self.left)):
             self._end(Put.REFUSED)
             return
         while not self.over and not self.spread.enough(self.asked):
@@ -227,6 +239,7 @@
     def _ask(self, name: str) -> None:
         self.left.remove(name)
         self.asked.add(name)
+        self.message.asked.add(name)
         self.waiting.add(name)
         store = self.spread.stores[name]
         body = self.message.body
@@ -242,7 +255,9 @@
             self.unclear |= reply.err_value is not Lost.UNSENT
             self.spread.suspect(name, 0.3 if reply.err_value is not Lost.SILENT else SUSPECT_S)
         elif reply.ok_value.body.get("ok"):
-            self.message.holders.add(name)
+            self.message.holders.add(reply.ok_value.body["disk"])  # its machine may have another one by now
+            if self.message.end:
+                self.spread.mark(self.message, self.message.end, self.message.seal)
         elif reply.ok_value.body.get("fenced"):
             self._end(Put.FENCED)
         else:
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -12,7 +12,7 @@
 from workshop.crib.cell import DRAINING, GONE, MOST, Cell, read_announce
 from workshop.crib.check import changed, check, parse
 from workshop.crib.orders import Asked, Counter, Said, Say, order
-from workshop.crib.sessions import BEAT_S, Sessions
+from workshop.crib.sessions import BEAT_S, Session, Sessions
 from workshop.machine.member import internal
 from workshop.ports import Disk, Json, Lost, Reply, Respond, World, on, words_of
 from workshop.settings import Settings
@@ -24,6 +24,7 @@
 DUTY_S = 0.1  # between looks at what is to be done while leading
 SETTLED_S = 1.5  # a new leader waits so long for reports before it calls anyone gone
 GONE_S = 0.15  # without a session until a member's shards are given to others
+LOST_S = 1.5  # without a session until a store's copies are made anew elsewhere
 GATHER_S = 0.4  # without a new member until those who came are given shards
 ORDER_S = 0.9  # for an order to be carried out: callers wait a second
 JOIN_S = 0.3  # between a core machine's tries to be a member
@@ -310,20 +311,50 @@
         members = self.sessions.members(now)
         for session in members.values():
             self._first_seen.setdefault(session.id, now)
-            if session.machine_class == STORE:
-                self._enrol(session.name, session.extra, session.address, session.zone, session.region)
+        self._keep_roster({it.name: it for it in members.values() if it.machine_class == STORE}, now)
+        self._drop_disks({it.id: it for it in members.values() if it.machine_class == "edge"})
         self._deal({it.id: it for it in members.values() if it.machine_class == "edge"}, now)
 
-    def _enrol(self, name: str, extra: Json, address: str, zone: str, region: str) -> None:
-        known = self.book.roster.get(name)
-        store = {"disk": extra["disk"], "addr": address, "zone": zone, "region": region, "state": "full"}
-        if known is not None:
-            store["state"] = known["state"]
-            if known["disk"] != extra["disk"]:
-                # Guards against an emptied disk that counts as one that would know.
-                store["state"] = "filling"
-        if known != store:
-            self._propose("store " + name, {"do": "store", "name": name, "store": store})
+    def _keep_roster(self, stores: dict[str, Session], now: float) -> None:
+        """Put stores that come on the roster, and mark those that are gone: their copies are made anew."""
+        changes: Json = {}
+        roster = self.book.roster
+        for name, session in stores.items():
+            disk = str(session.extra["disk"])
+            known = roster.get(disk)
+            if known is None and (session.extra["enrolled"] or self.book.retired.get(name) == "completed"):
+                continue  # it was retired, or its place was taken: then it comes as another disk
+            place = {"name": name, "addr": session.address, "zone": session.zone, "region": session.region}
+            state = "retiring" if known is not None and known["state"] == "retiring" else "full"
+            if known is None or {**known, "at": 0} != {**place, "state": state, "at": 0}:
+                changes[disk] = {**place, "state": state}
+            for other, it in roster.items():
+                if it["name"] == name and other != disk and it["state"] != "lost":
+                    changes[other] = {**it, "state": "lost"}  # its machine came back with another disk
+        settled = now - self.vise.led_since > SETTLED_S
+        for disk, it in roster.items():
+            if it["name"] in stores:
+                self._missing.pop(disk, None)
+            elif it["state"] == "full" and settled and now - self._missing.setdefault(disk, now) > LOST_S:
+                changes[disk] = {**it, "state": "lost"}
+        if changes:
+            logging.info("stores: %s", {it["name"]: it["state"] for it in changes.values()})
+            self._propose("roster", {"do": "roster", "set": changes})
+
+    def _drop_disks(self, edges: dict[str, Session]) -> None:
+        """A disk is asked no more once every owner has enough copies without it."""
+        leaving = {disk: it for disk, it in self.book.roster.items() if it["state"] in ("lost", "retiring")}
+        owners = {str(it[0]) for it in self.book.shards}
+        if not leaving or not owners or not owners <= set(edges):
+            return
+        told = [edges[name].extra for name in owners]
+        if any(it["table"] != self.book.shards_at or it["loading"] or it["short"] for it in told):
+            return
+        oldest = min(it["roster"] for it in told)
+        done = [disk for disk, it in leaving.items() if it["at"] <= oldest]
+        if done:
+            logging.info("stores: %s hold nothing alone any more", [leaving[disk]["name"] for disk in done])
+            self._propose("drop", {"do": "roster", "drop": done})
 
     def _deal(self, edges: dict[str, Any], now: float) -> None:
         live = [name for name, it in edges.items() if it.state == "up"]
@@ -400,7 +431,9 @@
             respond({}, b"")
 
     def _carry(self, word: str, body: Json, then: Callable[[Result[Json, NotTaken]], None]) -> None:
-        if word == "drain":
+        if word == "retire":
+            self._carry_retire(body["name"], then)
+        elif word == "drain":
             self.vise.propose({"do": "drain", "ids": body["ids"]}, then)
         elif word == "read":
 
@@ -408,12 +441,22 @@
                 if index is None:
                     then(Err(NotTaken.UNCLEAR))
                 else:
-                    then(Ok({"config": self.book.config}))
+                    then(Ok({"config": self.book.config, "retired": self.book.retired}))
 
             self.vise.confirm(give)
         else:
             self._carry_config(word, body, then)
 
+    def _carry_retire(self, name: str, then: Callable[[Result[Json, NotTaken]], None]) -> None:
+        rest = {
+            it["name"]: it for it in self.book.roster.values() if it["state"] == "full" and it["name"] != name
+        }
+        known = any(it["name"] == name for it in self.book.roster.values())
+        if known and not self.settings.tolerance.holds([(it["zone"], it["region"]) for it in rest.values()]):
+            then(Ok({"status": 409, "cause": f"too few stores would be left without {name}"}))
+        else:
+            self.vise.propose({"do": "retire", "name": name}, then)
+
     def _carry_config(self, word: str, body: Json, then: Callable[[Result[Json, NotTaken]], None]) -> None:
         base, text = body["base"], body["data"]
         sum_ = digest({"word": word, "base": base, "data": text})
@@ -487,6 +530,42 @@
 
         self._order("read", {}, done)
 
+    @order("POST", "/-/Retire.Begin/")
+    def retire(self, asked: Asked, name: str, say: Say) -> None:
+        """Have a store emptied: its copies are made anew elsewhere."""
+        data = self._small(asked, say)
+        if data is None:
+            return
+        seconds = data.get("durationS")
+        if isinstance(seconds, bool) or not isinstance(seconds, int | float) or seconds < 0:
+            say(Said(400, {"cause": "durationS: no number of seconds"}))
+            return
+
+        def done(result: Result[Json, NotTaken]) -> None:
+            if isinstance(result, Err):
+                say(Said(503, {"cause": "no answer of a majority"}, 1))
+            elif "status" in result.ok_value:
+                say(Said(result.ok_value["status"], {"cause": result.ok_value["cause"]}))
+            else:
+                logging.info("store %s is to be emptied", name)
+                say(Said(200, {"condition": "in_progress"}))
+
+        self._order("retire", {"name": name}, done)
+
+    @order("GET", "/-/Retire.Read/")
+    def retire_read(self, asked: Asked, name: str, say: Say) -> None:
+        """Tell how far a store is emptied, as a majority knows it."""
+
+        def done(result: Result[Json, NotTaken]) -> None:
+            if isinstance(result, Err):
+                say(Said(503, {"cause": "no answer of a majority"}, 1))
+            elif result.ok_value["retired"].get(name) is None:
+                say(Said(404, {"cause": f"{name} is not being emptied"}))
+            else:
+                say(Said(200, {"condition": result.ok_value["retired"][name]}))
+
+        self._order("read", {}, done)
+
     @order("POST", "/-/Instances.Announce/")
     def announce(self, asked: Asked, name: str, say: Say) -> None:
         """An endpoint says that it is there, or that it leaves."""
--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -23,6 +23,8 @@
 from workshop.vise.book import SHARDS
 from workshop.whistle.news import News
 
+MEND_S = 0.1  # between looks for messages that lack copies
+MEND_MOST = 16  # copied at once: what is mended must not hold up what is taken in
 OFFER_S = 0.5  # for another owner to take a message
 OFFER_AGAIN_S = 0.03
 NO_OWNER_S = 1.0  # a message waits so long for a shard to have an owner that answers
@@ -112,8 +114,10 @@
         self.world, self.settings, self.endpoints = world, settings, endpoints
         self.routes = Routes()
         self.news = News(world, self._others, self._heard)
-        self.member = Member(world, settings, address, "edge", self.news, lambda: {})
-        self.spread = Spread(world, settings.tolerance, settings.zone, settings.region)
+        self.member = Member(world, settings, address, "edge", self.news, self._extra)
+        self.spread = Spread(
+            world, settings.tolerance, settings.zone, settings.region, settings.seconds("statusTtlS")
+        )
         self.pool = Pool(settings.zone, world.chance, endpoints.idle)
         self.rack = Rack(world, self._ready)
         self.shards = Shards(world, self.spread, self.member.id, self._take, self._release, self._settle)
@@ -129,11 +133,15 @@
         self._parked: list[Message] = []  # of a configuration that is not here yet
         self._was_ready = False
         self._part, self._part_timer = 0.0, False
+        self.short: dict[str, Message] = {}  # messages that too few disks hold
+        self._mending: set[str] = set()
+        self._roster, self._roster_since = 0, 0.0
 
     def begin(self) -> None:
         self.member.begin()
         self.news.begin()
         self.world.later(SWEEP_S, self._sweep)
+        self.world.later(MEND_S, self._mend)
 
     def leave(self) -> None:
         """A planned end: shards go to others; whoever still comes is served through them."""
@@ -179,7 +187,7 @@
             self.shards.table_is(value)
             self._parts()
         elif key == "roster":
-            self.spread.roster_is(value)
+            self._roster_is(self.news.items[key][0][0], value)
         elif key == "cores":
             self.member.cores_are(value)
 
@@ -361,12 +369,16 @@
         self.size += message.size
         self._resolve(message)
         self.rack.add(message)
+        if not self.spread.enough(message.holders):
+            self.short[message.id] = message
 
     def _resolve(self, message: Message) -> bool:
         """Give a message its service by the newest configuration; one whose route was dropped ends."""
         route = self.routes.by_name.get(message.route)
         if route is not None:
             message.service, message.rank = route.service, route.rank
+            # A copy that a lost store brings back is too old to run by then.
+            message.keep_until = message.taken + route.retention_s + 2 * RETENTION_SLACK_S
             return True
         if message.seen <= self.routes.index and not message.out:
             self._end(message, "dropped", "")
@@ -393,14 +405,23 @@
     def _fetch(self, message: Message) -> None:
         """Read its body from a store that has it."""
         message.out = True
+
+        def read(found: bool) -> None:
+            if found:
+                self.rack.again(message)
+            elif not message.ended:
+                self.world.later(OFFER_AGAIN_S, lambda: self._fetch(message))
+
+        self._read_body(message, read)
+
+    def _read_body(self, message: Message, then: Callable[[bool], None]) -> None:
         holders = [it for it in message.holders if it in self.spread.stores] or list(self.spread.stores)
 
         def hear(reply: Result[Reply, Lost]) -> None:
-            if isinstance(reply, Ok) and reply.ok_value.body.get("found"):
+            found = isinstance(reply, Ok) and bool(reply.ok_value.body.get("found"))
+            if isinstance(reply, Ok) and found:
                 message.body = reply.ok_value.blob
-                self.rack.again(message)
-            else:
-                self.world.later(OFFER_AGAIN_S, lambda: self._fetch(message) if not message.ended else None)
+            then(found)
 
         store = self.spread.stores[self.world.chance.choice(holders)]
         self.world.ask(store.address, "body", {"id": message.id}, ASK_S, hear)
@@ -491,6 +512,58 @@
             if route is not None and not message.out and self._too_old(message, route):
                 self._end(message, "expired", "")
 
+    # -- copies that are lacking
+
+    def _roster_is(self, index: int, roster: Json) -> None:
+        self.spread.roster_is(roster)
+        self._roster, self._roster_since = index, self.world.now()
+        self.short = {
+            name: it for name, it in self.rack.messages.items() if not self.spread.enough(it.holders)
+        }
+
+    def _extra(self) -> Json:
+        """What the leader wants to know before a disk is asked no more."""
+        early = sum(1 for since in self.shards.put_since.values() if since <= self._roster_since)
+        table = self.news.items.get("shards")
+        return {
+            "roster": self._roster,
+            "table": table[0][0] if table is not None else 0,
+            "loading": sum(1 for it in self.shards.mine.values() if not it.serving),
+            "short": len(self.short) + early,
+        }
+
+    def _mend(self) -> None:
+        """Copy what too few disks hold, a few at a time."""
+        self.world.later(MEND_S, self._mend)
+        self._mend_more()
+
+    def _mend_more(self) -> None:
+        for name, message in list(self.short.items()):
+            if message.ended or name not in self.rack.messages or self.spread.enough(message.holders):
+                del self.short[name]
+            elif name not in self._mending:
+                if len(self._mending) >= MEND_MOST:
+                    return
+                self._mending.add(name)
+                self._copy(message)
+
+    def _copy(self, message: Message) -> None:
+        shard = self.shards.mine.get(message.shard)
+        if message.body is None:
+            self._read_body(message, lambda found: self._copy(message) if found else self._copied(message))
+        elif shard is None or message.ended:
+            self._copied(message)
+        else:
+            self.spread.put(message, shard.epoch, lambda put: self._copied(message))
+
+    def _copied(self, message: Message) -> None:
+        self._mending.discard(message.id)
+        if self.spread.enough(message.holders):
+            self._count("mended")
+            self.short.pop(message.id, None)
+            if self.short and not self._mending:
+                self.world.later(0.0, self._mend_more)
+
     # -- who asks for a message
 
     @order("GET", "/-/message/")
@@ -547,12 +620,12 @@
         states: list[tuple[str, str]] = []
         over = False
 
-        def hear(store: str, reply: Result[Reply, Lost]) -> None:
+        def hear(disk: str, reply: Result[Reply, Lost]) -> None:
             nonlocal over
             if over:
                 return
-            if isinstance(reply, Ok):
-                heard.add(store)
+            if isinstance(reply, Ok) and reply.ok_value.body["disk"] == disk:
+                heard.add(disk)
                 state = reply.ok_value.body["found"].get(name)
                 if state is not None:
                     states.append((state[0], state[1]))
@@ -567,8 +640,8 @@
                 over = True
                 found(None)
 
-        for store in self.spread.stores.values():
-            self.world.ask(store.address, "find", {"ids": [name]}, ASK_S, partial(hear, store.name))
+        for disk, store in self.spread.stores.items():
+            self.world.ask(store.address, "find", {"ids": [name]}, ASK_S, partial(hear, disk))
         self.world.later(min(ASK_S + 0.05, max(0.0, until - self.world.now())), late)
 
     @order("GET", "/-/message-body/")
--- a/workshop/machine/store.py
+++ b/workshop/machine/store.py
@@ -31,10 +31,11 @@
     ) -> None:
         self.world, self.settings, self.drawer = world, settings, drawer
         self.disk, self.fences, self.kept = contents.disk, contents.fences, contents.kept
+        self.enrolled = contents.enrolled  # index of the newest roster that this disk was seen in
         self.news = News(
             world, lambda: [self.member.relay] if self.member.relay else [], self._heard, pass_on=0
         )
-        self.member = Member(world, settings, address, "storage", self.news, lambda: {"disk": self.disk})
+        self.member = Member(world, settings, address, "storage", self.news, self._extra)
         self.words = {**words_of(self), **words_of(self.news)}
         self.counts: dict[str, int] = {}
         self.full = False
@@ -59,9 +60,27 @@
     def broken(self, address: str) -> None:
         self.member.broken(address)
 
+    def _extra(self) -> Json:
+        return {"disk": self.disk, "enrolled": self.enrolled > 0}
+
     def _heard(self, key: str, value: Json) -> None:
         if key == "cores":
             self.member.cores_are(value)
+        elif key == "roster":
+            self._roster_is(self.news.items[key][0][0], value)
+
+    def _roster_is(self, index: int, roster: Json) -> None:
+        if index < self.enrolled:
+            return
+        if self.disk in roster:
+            self.enrolled = index
+            self.drawer.write([("enrolled", (index,))], lambda error: None)
+        elif self.enrolled:
+            # Others have taken its place: what it holds may have ended long since, and is not asked for.
+            logging.warning("this disk is on the roster no longer: it is emptied and taken for another one")
+            self.disk, self.enrolled = f"{self.world.chance.getrandbits(64):x}", 0
+            self.kept.clear()
+            self.drawer.write([("anew", (self.disk,))], lambda error: None)
 
     def _count(self, name: str, by: int = 1) -> None:
         self.counts[name] = self.counts.get(name, 0) + by
@@ -79,10 +98,11 @@
             return
         known = self.kept.get(name)
         if known is not None and known.end:
-            respond({"ok": True, "end": known.end}, b"")
+            respond({"ok": True, "disk": self.disk, "end": known.end}, b"")
             return
         # A message that a later owner copies once more keeps the place that it was accepted at.
         number, seq = body["order"]
+        disk = self.disk
         kept = Kept(shard, number, seq, body["meta"], len(blob))
         self.kept[name] = kept  # at once, so that an owner who comes now finds it
 
@@ -90,7 +110,7 @@
             if error is None:
                 self.full = False
                 self._count("put")
-                respond({"ok": True}, b"")
+                respond({"ok": True, "disk": disk}, b"")
                 return
             if not self.full:
                 logging.error("a message can't be kept: %s", error)
@@ -112,7 +132,7 @@
             elif known.end:
                 continue
             else:
-                known.end, known.seal, known.ended_at = end, seal, at
+                known.end, known.seal, known.keep_until = end, seal, at
             rows.append(("end", (name, shard, end, seal, at)))
         self._count("marks", len(rows))
         self.drawer.write(rows, lambda error: respond({"ok": error is None}, b""))
@@ -144,7 +164,7 @@
                 for name, it in found
             ]  # fmt: skip
             parts = b"".join(bodies[name] for name, _ in found if name in bodies)
-            respond({"ok": True, "refused": refused, "open": messages}, parts)
+            respond({"ok": True, "disk": self.disk, "refused": refused, "open": messages}, parts)
 
         def done(error: str | None) -> None:
             if error is not None:
@@ -165,7 +185,7 @@
             known = self.kept.get(name)
             if known is not None:
                 found[name] = [known.end, known.seal]
-        respond({"found": found}, b"")
+        respond({"found": found, "disk": self.disk}, b"")
 
     @on("body")
     def on_body(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
@@ -179,8 +199,8 @@
 
     def _sweep(self) -> None:
         self.world.later(SWEEP_S, self._sweep)
-        before = self.world.wall() - self.settings.seconds("statusTtlS")
-        over = [name for name, it in self.kept.items() if it.end and it.ended_at < before]
+        now = self.world.wall()
+        over = [name for name, it in self.kept.items() if it.end and it.keep_until < now]
         for name in over:
             del self.kept[name]
         if over:
--- a/workshop/vise/book.py
+++ b/workshop/vise/book.py
@@ -26,8 +26,9 @@
         self.config: Json | None = None
         self.config_at = 0
         self.hashes: dict[int, str] = {}
-        self.roster: Json = {}  # store's name -> disk, addr, zone, region, state (full, filling, gone)
+        self.roster: Json = {}  # by disk: name, addr, zone, region, state, at (of its state)
         self.roster_at = 0
+        self.retired: Json = {}  # stores that were to be emptied: in_progress or completed
         self.owners: Json = {}  # owner's id (name/incarnation) -> name, addr, zone, region
         self.shards: list[
             list[object]
@@ -70,12 +71,31 @@
                 del self.hashes[min(self.hashes)]
         return said
 
-    def _store(self, index: int, command: Json) -> Json:
-        """A store's machine, its incarnation and state."""
-        self.roster = {**self.roster, command["name"]: command["store"]}
-        self.roster_at = index
+    def _roster(self, index: int, command: Json) -> Json:
+        """Disks come, change their state, or are no longer asked for anything."""
+        roster = dict(self.roster)
+        for disk, store in command.get("set", {}).items():
+            before = roster.get(disk, {})
+            at = before["at"] if before.get("state") == store["state"] else index
+            roster[disk] = {**store, "at": at}
+        for disk in command.get("drop", []):
+            gone = roster.pop(disk, None)
+            if gone is not None and gone["state"] == "retiring":
+                self.retired = {**self.retired, gone["name"]: "completed"}
+        self.roster, self.roster_at = roster, index
         return {"ok": True}
 
+    def _retire(self, index: int, command: Json) -> Json:
+        """A store is to be emptied: none of its copies counts any more, and it takes no new ones."""
+        name = command["name"]
+        known = {disk: it for disk, it in self.roster.items() if it["name"] == name and it["state"] != "lost"}
+        if self.retired.get(name) is not None and not any(it["state"] == "full" for it in known.values()):
+            return {"again": True}
+        if not known:
+            return {"status": 404, "cause": f"no store {name}"}
+        self.retired = {**self.retired, name: "in_progress"}
+        return self._roster(index, {"set": {disk: {**it, "state": "retiring"} for disk, it in known.items()}})
+
     def _give(self, index: int, command: Json) -> Json:
         """Shards change hands: the index is the epoch that the new owners act under."""
         self.owners = command["owners"]
