Give operators a command line, and try a whole small deployment on loopback

Control relays answer Foreman.Status, Foreman.Dead and Foreman.Counters; edges and stores the words status and dead.

--- a/workshop/__main__.py
+++ b/workshop/__main__.py
@@ -2,15 +2,39 @@
 
 from __future__ import annotations
 
+import importlib
 import os
 import sys
+from typing import ClassVar
 
 import click
 
 from workshop.settings import DEFAULT, VARIABLE
 
 
-@click.group()
+class Lazy(click.Group):
+    """Imports a command's module only once it is asked for, so that `run` starts without them."""
+
+    LATER: ClassVar = {
+        "foreman": "workshop.foreman.commands:foreman",
+        "stand-in": "workshop.standin.commands:stand_in",
+        "try": "workshop.standin.commands:trial",
+    }
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Name all commands."""
+        return sorted([*super().list_commands(ctx), *self.LATER])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Give one command."""
+        if cmd_name not in self.LATER:
+            return super().get_command(ctx, cmd_name)
+        module, _, name = self.LATER[cmd_name].partition(":")
+        command: click.Command = getattr(importlib.import_module(module), name)
+        return command
+
+
+@click.group(cls=Lazy)
 def cli() -> None:
     """The ingest and dispatch service."""
 
--- a/workshop/crib/orders.py
+++ b/workshop/crib/orders.py
@@ -24,11 +24,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Said:
-    """An answer to an order."""
+    """An answer to an order; one with a `page` is plain text instead of its body."""
 
     status: int
     body: Json
     retry_after: int | None = None
+    page: bytes | None = None
 
 
 Say = Callable[[Said], None]
@@ -56,11 +57,15 @@
 
 
 class Counter:
-    """Finds the handler of a request among those that an object's class declares."""
+    """Finds the handler of a request among those that the classes of some objects declare."""
 
-    def __init__(self, thing: object) -> None:
+    def __init__(self, *things: object) -> None:
         self._exact: dict[str, dict[str, Callable[..., None]]] = {}
         self._named: dict[str, dict[str, Callable[..., None]]] = {}
+        for thing in things:
+            self._add(thing)
+
+    def _add(self, thing: object) -> None:
         for kind in type(thing).__mro__:
             for name, member in vars(kind).items():
                 declared = getattr(member, "__dict__", {}).get("order") if callable(member) else None
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -13,6 +13,7 @@
 from workshop.crib.check import changed, check, parse
 from workshop.crib.orders import Asked, Counter, Said, Say, order
 from workshop.crib.sessions import BEAT_S, Sessions
+from workshop.machine.lookout import Lookout
 from workshop.machine.member import internal
 from workshop.ports import Disk, Json, Lost, Reply, Respond, World, on, words_of
 from workshop.settings import Settings
@@ -58,8 +59,9 @@
         self.vise = Vise(
             world, disk, saved, self._apply, self.book.to_json, self.book.from_json, self._changed
         )  # fmt: skip
-        self.counter = Counter(self)
-        self.words = {**words_of(self), **words_of(self.vise), **words_of(self.news)}
+        lookout = Lookout(self)
+        self.counter = Counter(self, lookout)
+        self.words = {**words_of(self), **words_of(self.vise), **words_of(self.news), **words_of(lookout)}
         self.counts: dict[str, int] = {}
         self._led = ""
         self._busy: set[str] = set()  # duties under way
@@ -165,9 +167,9 @@
             else:
                 self._waits.append((index, act))
 
-        self._confirm(give)
+        self.confirm(give)
 
-    def _confirm(self, then: Callable[[int | None], None]) -> None:
+    def confirm(self, then: Callable[[int | None], None]) -> None:
         if self.vise.role is Role.LEADER:
             self.vise.confirm(then)
             return
--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -18,6 +18,7 @@
 from workshop.lathe.shards import Shards, Taken
 from workshop.lathe.spread import Spread
 from workshop.machine.member import Member, internal
+from workshop.machine.views import EdgeView
 from workshop.ports import Called, Endpoints, Json, Lost, Reply, Respond, World, on, words_of
 from workshop.settings import Settings
 from workshop.vise.book import SHARDS
@@ -122,6 +123,7 @@
         self.ends: dict[str, tuple[str, str, float]] = {}  # how messages ended, and when by the steady clock
         self.counter = Counter(self)
         self.words = {**words_of(self), **words_of(self.news), **words_of(self.shards)}
+        self.words |= words_of(EdgeView(self))
         self.counts: dict[str, int] = {}
         self.leaving = False
         self.size = 0  # bytes of bodies in hand
--- /dev/null
+++ b/workshop/machine/lookout.py
@@ -0,0 +1,286 @@
+"""A control relay's calls for operators that only look: the whole deployment in one answer. No I/O."""
+
+from __future__ import annotations
+
+import base64
+from collections import Counter as Tally
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
+
+from result import Err, Ok, Result
+
+from workshop.crib import counts
+from workshop.crib.orders import Asked, Said, Say, order
+from workshop.crib.sessions import Session
+from workshop.machine.views import DEAD_MOST
+from workshop.ports import Json, Lost, Reply, Respond, on
+
+if TYPE_CHECKING:
+    from workshop.machine.core import Core
+
+LOOK_S = 0.6  # for peers to answer: operators wait a second
+
+
+class _Round:
+    """One question to several peers; `then` hears once, with what came in time."""
+
+    def __init__(self, core: Core, then: Callable[[dict[str, Result[Reply, Lost]]], None]) -> None:
+        self._core, self._then = core, then
+        self._heard: dict[str, Result[Reply, Lost]] = {}
+        self._left = 1  # the round itself, until all are asked
+
+    def ask(self, name: str, to: str, word: str, body: Json) -> None:
+        self._left += 1
+        self._core.world.ask(to, word, body, LOOK_S, partial(self._hear, name))
+
+    def wait(self) -> Callable[[], None]:
+        """Something else to wait for, as long as for a peer; what is given says that it is there."""
+        self._left += 1
+        waits = [self._one_less]
+
+        def over() -> None:
+            if waits:
+                waits.pop()()
+
+        self._core.world.later(LOOK_S, over)
+        return over
+
+    def asked(self) -> None:
+        """All have been asked."""
+        self._one_less()
+
+    def _hear(self, name: str, reply: Result[Reply, Lost]) -> None:
+        self._heard[name] = reply
+        self._one_less()
+
+    def _one_less(self) -> None:
+        self._left -= 1
+        if self._left == 0:
+            self._then(self._heard)
+
+
+class Lookout:
+    """Looks over the deployment from one core machine."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+
+    @order("GET", counts.PATH)
+    def counters(self, asked: Asked, name: str, say: Say) -> None:
+        """Give this process's counters."""
+        say(Said(200, {}, page=counts.page(self._core.counts)))
+
+    # -- how it all stands
+
+    @order("GET", "/-/Foreman.Status")
+    def status(self, asked: Asked, name: str, say: Say) -> None:
+        """Tell how the whole deployment stands, also where some do not answer."""
+        core = self._core
+        members = core.sessions.members(core.world.now())
+        up = [
+            it for it, store in core.book.roster.items() if it in members and store["state"] == "full"
+        ]  # fmt: skip
+        confirmed: list[int] = []
+
+        def told(heard: dict[str, Result[Reply, Lost]]) -> None:
+            say(Said(200, self._whole(members, heard, bool(confirmed))))
+
+        look = _Round(core, told)
+        for member in members.values():
+            look.ask(member.id, member.address, "status", {"up": up})
+        for key, it in core.vise.members.items():
+            if key != core.vise.me:
+                look.ask(key, it["addr"], "core.status", {})
+        over = look.wait()
+
+        def confirm(index: int | None) -> None:
+            if index is not None:
+                confirmed.append(index)
+            over()
+
+        core.confirm(confirm)
+        look.asked()
+
+    @on("core.status")
+    def on_status(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Another control relay asks how this one stands."""
+        respond(self._self_told(), b"")
+
+    def _self_told(self) -> Json:
+        core = self._core
+        return {
+            "role": core.vise.role.value,
+            "term": core.vise.term,
+            "leader": core.vise.leader,
+            "commit": core.vise.commit,
+            "edition": core.book.edition,
+            "counts": core.counts,
+        }
+
+    def _whole(
+        self, members: dict[str, Session], heard: dict[str, Result[Reply, Lost]], confirmed: bool
+    ) -> Json:
+        core, now = self._core, self._core.world.now()
+        book = core.book
+        told = {key: reply.ok_value.body if isinstance(reply, Ok) else None for key, reply in heard.items()}
+        told[core.vise.me] = self._self_told()
+        rows: list[Json] = [
+            {
+                "name": it.name,
+                "incarnation": it.incarnation,
+                "class": it.machine_class,
+                "zone": it.zone,
+                "region": it.region,
+                "state": it.state,
+                "address": it.address,
+                "for_s": round(now - it.since, 1),
+                "silent_s": round(now - it.last, 2),
+                "told": told.get(it.id),
+            }
+            for it in sorted(members.values(), key=lambda it: (it.machine_class, it.name))
+        ]
+        edges = [it for it in rows if it["class"] == "edge"]
+        short = [it["told"]["copies short"] for it in edges if it["told"] is not None]
+        owners = Tally(str(it[0]) for it in book.shards)
+        return {
+            "by": core.vise.me,
+            "confirmed": confirmed,
+            "members": rows,
+            "core": {
+                "term": core.vise.term,
+                "leader": core.vise.leader,
+                "commit": core.vise.commit,
+                "members": [
+                    {"id": key, **it, "told": told.get(key)} for key, it in sorted(core.vise.members.items())
+                ],
+            },
+            "shards": {
+                "at": book.shards_at,
+                "owners": {key: owners[key] for key in sorted(owners) if key},
+                "nobody": owners[""],
+            },
+            "stores": {key: {**it, "session": key in members} for key, it in sorted(book.roster.items())},
+            "configuration": {
+                "edition": book.edition,
+                "at": book.config_at,
+                "edges": {
+                    str(it["name"]): it["told"]["edition"] if it["told"] is not None else None for it in edges
+                },
+            },
+            "endpoints": self._endpoints(),
+            "copies_short": sum(short),
+            "copies_unknown": len(edges) - len(short),
+            "counters": dict(sorted(self._sum(told.values()).items())),
+        }
+
+    @staticmethod
+    def _sum(told: Any) -> Tally[str]:
+        total: Tally[str] = Tally()
+        for it in told:
+            total.update(it["counts"] if it is not None else {})
+        return total
+
+    def _endpoints(self) -> list[Json]:
+        found: list[Json] = [
+            {"id": key[3:], **value}
+            for key, (_, value) in self._core.news.items.items()
+            if key.startswith("ep/")
+        ]
+        return sorted(found, key=lambda it: (it["service"], it["cond"], it["id"]))
+
+    # -- messages that ended without success
+
+    def _ask_stores(self, body: Json, then: Callable[[dict[str, Result[Reply, Lost]]], None]) -> None:
+        look = _Round(self._core, then)
+        for name, it in self._core.book.roster.items():
+            if it["state"] != "gone":
+                look.ask(name, it["addr"], "dead", body)
+        look.asked()
+
+    @order("GET", "/-/Foreman.Dead")
+    def dead(self, asked: Asked, name: str, say: Say) -> None:
+        """One page of the messages that ended without success, by name, those behind `after`."""
+        query = parse_qs(asked.target.partition("?")[2])
+        after, most = query.get("after", [""])[0], query.get("most", [str(DEAD_MOST)])[0]
+        if not most.isdigit() or not 0 < int(most) <= DEAD_MOST:
+            say(Said(400, {"cause": f"most: no number from 1 to {DEAD_MOST}"}))
+            return
+
+        def told(heard: dict[str, Result[Reply, Lost]]) -> None:
+            silent = sorted(key for key, reply in heard.items() if isinstance(reply, Err))
+            if len(silent) == len(heard):
+                say(Said(503, {"cause": "no store answers"}, 1))
+                return
+            say(Said(200, {**merged(heard, int(most)), "silent": silent}))
+
+        self._ask_stores({"after": after, "most": int(most)}, told)
+
+    @order("GET", "/-/Foreman.Dead/")
+    def dead_one(self, asked: Asked, name: str, say: Say) -> None:
+        """One message that ended without success, with its bytes."""
+
+        def told(heard: dict[str, Result[Reply, Lost]]) -> None:
+            rows = merged(heard, 1)["rows"]
+            silent = any(isinstance(reply, Err) for reply in heard.values())
+            if not rows and (silent or not heard):
+                say(Said(503, {"cause": "not all stores answer, and those that do don't know it"}, 1))
+            elif not rows:
+                say(Said(404, {"cause": "no such message has ended without success of late"}))
+            else:
+                self._with_body(rows[0], list(heard), say)
+
+        self._ask_stores({"id": name}, told)
+
+    def _with_body(self, row: Json, stores: list[str], say: Say) -> None:
+        def told(heard: dict[str, Result[Reply, Lost]]) -> None:
+            for reply in heard.values():
+                if isinstance(reply, Ok) and reply.ok_value.body.get("found"):
+                    text = base64.b64encode(reply.ok_value.blob).decode()
+                    say(Said(200, {**row, "body": text}))
+                    return
+            say(Said(503, {"cause": "no store that answers has its bytes"}, 1))
+
+        look = _Round(self._core, told)
+        for name in stores:
+            store = self._core.book.roster.get(name)
+            if store is not None:
+                look.ask(name, store["addr"], "body", {"id": row["id"]})
+        look.asked()
+
+
+def merged(heard: dict[str, Result[Reply, Lost]], most: int) -> Json:
+    """One page of several stores' pages; `after` is where the next one begins, where there is one."""
+    found: dict[str, Json] = {}
+    ends: list[str] = []  # where a store's page was cut off: what lies behind it may be missing
+    for reply in heard.values():
+        if not isinstance(reply, Ok):
+            continue
+        body = reply.ok_value.body
+        for name, meta, size, at in body["rows"]:
+            # A store that was told only of the end knows nothing else of the message.
+            if name not in found or (meta and not found[name]["method"]):
+                found[name] = _row(name, meta, size, at)
+        if body["more"]:
+            ends.append(body["rows"][-1][0])
+    names = sorted(found)
+    whole = [name for name in names if not ends or name <= min(ends)]
+    page = whole[:most]
+    more = len(page) < len(names)
+    return {"rows": [found[name] for name in page], **({"after": page[-1]} if more and page else {})}
+
+
+def _row(name: str, meta: Json, size: int, at: float) -> Json:
+    return {
+        "id": name,
+        "route": meta.get("r", ""),
+        "host": meta.get("h", ""),
+        "method": meta.get("m", ""),
+        "target": meta.get("t", ""),
+        "key": meta.get("k", ""),
+        "headers": meta.get("x", []),
+        "taken_at": meta.get("w"),
+        "ended_at": at,
+        "size": size,
+    }
--- a/workshop/machine/store.py
+++ b/workshop/machine/store.py
@@ -9,6 +9,7 @@
 
 from workshop.chest.drawer import Contents, Kept
 from workshop.machine.member import Member, internal
+from workshop.machine.views import StoreView
 from workshop.ports import Disk, Json, Respond, World, on, words_of
 from workshop.settings import Settings
 from workshop.whistle.news import News
@@ -35,7 +36,7 @@
             world, lambda: [self.member.relay] if self.member.relay else [], self._heard, pass_on=0
         )
         self.member = Member(world, settings, address, "storage", self.news, lambda: {"disk": self.disk})
-        self.words = {**words_of(self), **words_of(self.news)}
+        self.words = {**words_of(self), **words_of(self.news), **words_of(StoreView(self))}
         self.counts: dict[str, int] = {}
         self.full = False
         if contents.spoilt:
--- /dev/null
+++ b/workshop/machine/views.py
@@ -0,0 +1,75 @@
+"""What edges and stores tell the operators of themselves, asked by a control relay. No I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from workshop.ports import Json, Respond, on
+
+if TYPE_CHECKING:
+    from workshop.machine.edge import Edge
+    from workshop.machine.store import Store
+
+DEAD_MOST = 200  # messages on one page
+
+
+class EdgeView:
+    """An edge, as its operators see it."""
+
+    def __init__(self, edge: Edge) -> None:
+        self._edge = edge
+
+    @on("status")
+    def on_status(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """How it stands; `up` names the stores that count as holding what was given to them."""
+        edge, up = self._edge, set(body["up"])
+        messages = edge.rack.messages.values()
+        told = {
+            "ready": edge.ready,
+            "edition": edge.routes.edition,
+            "shards": len(edge.shards.mine),
+            "in hand": len(messages),
+            "bytes": edge.size,
+            "out": sum(len(it.calls) for it in edge.services.values()),
+            "copies short": sum(not edge.spread.enough(it.holders & up) for it in messages),
+            "counts": edge.counts,
+        }
+        respond(told, b"")
+
+
+class StoreView:
+    """A store, as its operators see it."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    @on("status")
+    def on_status(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """How it stands."""
+        store = self._store
+        still = [it for it in store.kept.values() if not it.end]
+        told = {
+            "disk": store.disk,
+            "full": store.full,
+            "open": len(still),
+            "bytes": sum(it.size for it in still),
+            "dead": sum(it.end == "dead" for it in store.kept.values()),
+            "ended": len(store.kept) - len(still),
+            "counts": store.counts,
+        }
+        respond(told, b"")
+
+    @on("dead")
+    def on_dead(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Messages that ended without success, by name: those behind `after`, or the one called `id`."""
+        kept = self._store.kept
+        if "id" in body:
+            names = [body["id"]] if body["id"] in kept else []
+        else:
+            names = [name for name in kept if name > body["after"]]
+        names = sorted(name for name in names if kept[name].end == "dead")
+        most = min(int(body.get("most", DEAD_MOST)), DEAD_MOST)
+        rows = [
+            [name, kept[name].meta, kept[name].size, round(kept[name].ended_at, 3)] for name in names[:most]
+        ]
+        respond({"rows": rows, "more": len(names) > most}, b"")
--- a/workshop/program.py
+++ b/workshop/program.py
@@ -18,6 +18,7 @@
 
 from workshop import settings as told
 from workshop.belt.links import Belt
+from workshop.crib.counts import PATH, page
 from workshop.crib.orders import Said, pack
 from workshop.hatch.server import Answer, Limits, Request, Server
 from workshop.ports import Handle, Json, Respond, Then
@@ -28,6 +29,7 @@
 STILL_SERVED_S = 2.6  # after SIGTERM until the platform sends nobody here any more
 SPARE_S = 0.8  # of the grace that is left for the end
 JSON = (("Content-Type", "application/json"),)
+PLAIN = (("Content-Type", "text/plain; charset=utf-8"),)
 CONTROL_LIMITS = Limits(body_bytes=4 << 20)
 
 
@@ -142,7 +144,11 @@
             edge.handle(asked, finish)
 
         def readiness(asked: Request, answer: Callable[[Answer], None]) -> None:
-            here = asked.target.partition("?")[0] == "/-/readiness"
+            path = asked.target.partition("?")[0]
+            if path == PATH:
+                answer(Answer(200, PLAIN, page(edge.counts)))
+                return
+            here = path == "/-/readiness"
             answer(Answer((200 if edge.ready else 503) if here else 404, JSON, b"{}"))
 
         def sweep() -> None:
@@ -230,7 +236,10 @@
 def _saying(answer: Callable[[Answer], None]) -> Callable[[Said], None]:
     def say(said: Said) -> None:
         again = (("Retry-After", str(said.retry_after)),) if said.retry_after is not None else ()
-        answer(Answer(said.status, JSON + again, pack(said.body)))
+        if said.page is not None:
+            answer(Answer(said.status, PLAIN + again, said.page))
+        else:
+            answer(Answer(said.status, JSON + again, pack(said.body)))
 
     return say
 
