Test the operators' commands, the checks of files and a whole small deployment

Seventy cases over a prepared control relay, a core with silent peers, and one real deployment of nine processes that loses an edge and a store. Found on the way: a share that was checked as two alternatives told two errors. 72 pass in 21 s.

--- /dev/null
+++ b/tests/workshop/test_foreman.py
@@ -0,0 +1,454 @@
+"""Operators' commands, what control relays answer them with, and a trial of a whole deployment."""
+
+import asyncio
+import json
+import random
+import threading
+from collections.abc import Callable, Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+import pytest
+import yaml
+from click.testing import CliRunner, Result
+from result import Err, Ok
+
+from tests.rig import ROOT
+from workshop.__main__ import cli
+from workshop.crib.counts import page
+from workshop.foreman.commands import BAD, DONE, REFUSED, UNCLEAR
+from workshop.foreman.files import check_deploy, check_settings, differences
+from workshop.machine.core import Core, blank
+from workshop.machine.lookout import merged
+from workshop.ports import Json, Lost, Reply, Then
+from workshop.settings import read_file
+from workshop.standin.deployment import Deployment, config
+from workshop.standin.endpoint import Run
+from workshop.standin.trial import Sent, Tale, play
+
+# -- what a control relay answers
+
+
+class World:
+    """Peers answer at once by a table; those that are not in it are silent until the time is let pass."""
+
+    def __init__(self, answers: dict[tuple[str, str], Json]) -> None:
+        self.answers, self.chance = answers, random.Random(1)
+        self.timers: list[Callable[[], None]] = []
+
+    def now(self) -> float:
+        return 10.0
+
+    def wall(self) -> float:
+        return 10.0
+
+    def later(self, seconds: float, act: Callable[[], None]) -> Any:
+        self.timers.append(act)
+
+    def tell(self, to: str, word: str, body: Json, blob: bytes = b"") -> None: ...
+
+    def ask(self, to: str, word: str, body: Json, within: float, then: Then, blob: bytes = b"") -> None:
+        answer = self.answers.get((to, word))
+        if answer is not None:
+            then(Ok(Reply(answer, answer.get("blob", b""))))
+        else:
+            self.timers.append(lambda: then(Err(Lost.SILENT)))
+
+    def pass_time(self) -> None:
+        timers, self.timers = self.timers, []
+        for act in timers:
+            act()
+
+
+class Disk:
+    def write(self, rows: object, then: Callable[[str | None], None]) -> None: ...
+
+
+class Asked:
+    method, body = "GET", b""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+
+    def header(self, name: str) -> str | None:
+        return None
+
+
+def core_of(tmp_path: Path, answers: dict[tuple[str, str], Json]) -> tuple[Core, World]:
+    deployment = Deployment(tmp_path, "127.0.1")
+    deployment.write(first_start=True)
+    settings = read_file(str(deployment.machines["core-1"].path)).unwrap()
+    world = World(answers)
+    core = Core(world, settings, "127.0.1.10:7300", Disk(), blank(settings, world.chance.getrandbits))
+    for kind, name in (("edge", "e1"), ("edge", "e2"), ("storage", "s1")):
+        core.sessions.hello(
+            {"name": name, "incarnation": "1", "address": name, "machine_class": kind, "zone": "north",
+             "region": "valley", "state": "up"}, 9.0)  # fmt: skip
+    for name in ("s1", "s2"):
+        store = {"disk": "d", "addr": name, "zone": "north", "region": "valley", "state": "full"}
+        core.book.apply(1, {"do": "store", "name": name, "store": store})
+    return core, world
+
+
+def asked(core: Core, world: World, target: str) -> tuple[int, Json]:
+    said: list[Any] = []
+    core.counter.take(Asked(target), said.append)
+    if not said:
+        world.pass_time()
+    (answer,) = said
+    return answer.status, answer.body
+
+
+EDGE = {"ready": True, "edition": 3, "shards": 9, "in hand": 2, "bytes": 5, "out": 1, "copies short": 2,
+        "counts": {"taken": 4}}  # fmt: skip
+
+
+def test_the_status_shows_all_where_some_are_silent(tmp_path: Path) -> None:
+    core, world = core_of(
+        tmp_path, {("e1", "status"): EDGE, ("127.0.1.11:7300", "core.status"): {"counts": {}}}
+    )
+    core.counts["announced"] = 2
+    status, data = asked(core, world, "/-/Foreman.Status")
+    assert status == 200
+    assert not data["confirmed"]
+    assert {it["name"]: it["told"] is not None for it in data["members"]} == {
+        "e1": True,
+        "e2": False,
+        "s1": False,
+    }
+    assert [it["told"] is not None for it in data["core"]["members"]] == [True, True, False]
+    assert data["configuration"]["edges"] == {"e1": 3, "e2": None}
+    assert (data["copies_short"], data["copies_unknown"]) == (2, 1)
+    assert {name: it["session"] for name, it in data["stores"].items()} == {"s1": True, "s2": False}
+    assert data["counters"] == {"announced": 2, "taken": 4}
+
+
+def row(name: str, meta: Json | None = None) -> list[Any]:
+    return [name, {"m": "POST", "t": "/a", "h": "x", "r": "r", "x": []} if meta is None else meta, 3, 1.0]
+
+
+PAGES = [
+    # the stores' pages (None: silent), how many are wanted, the names, and where the next page begins
+    ([None], 9, [], None),
+    ([(["a", "b"], False)], 9, ["a", "b"], None),
+    ([(["a", "c"], False), (["b", "c"], False)], 9, ["a", "b", "c"], None),
+    ([(["a", "b"], True), (["b", "x"], False)], 9, ["a", "b"], "b"),
+    ([(["a", "b"], True), (["m"], True), None], 9, ["a", "b"], "b"),
+    ([(["a", "b", "c"], False)], 2, ["a", "b"], "b"),
+]
+
+
+@pytest.mark.parametrize(("pages", "most", "names", "after"), PAGES)
+def test_pages_of_stores_are_merged(pages: list[Any], most: int, names: list[str], after: str | None) -> None:
+    heard: dict[str, Any] = {
+        str(at): Err(Lost.SILENT)
+        if it is None
+        else Ok(Reply({"rows": [row(name) for name in it[0]], "more": it[1]}))
+        for at, it in enumerate(pages)
+    }
+    found = merged(heard, most)
+    assert [it["id"] for it in found["rows"]] == names
+    assert found.get("after") == after
+
+
+DEAD = [
+    # what the stores answer, the answer to who asks for one
+    ({"s1": {"rows": [row("a", {})], "more": False}, "s2": {"rows": [row("a")], "more": False}}, 200),
+    ({"s1": {"rows": [], "more": False}, "s2": {"rows": [], "more": False}}, 404),
+    ({"s1": {"rows": [], "more": False}}, 503),
+    ({}, 503),
+]
+
+
+@pytest.mark.parametrize(("stores", "status"), DEAD)
+def test_one_dead_message_is_found(tmp_path: Path, stores: dict[str, Json], status: int) -> None:
+    answers: dict[tuple[str, str], Json] = {(name, "dead"): it for name, it in stores.items()}
+    answers["s2", "body"] = {"found": True, "blob": b"abc"}
+    core, world = core_of(tmp_path, answers)
+    said: list[Any] = []
+    core.counter.take(Asked("/-/Foreman.Dead/a"), said.append)
+    world.pass_time()
+    world.pass_time()
+    assert [it.status for it in said] == [status]
+    assert status != 200 or (said[0].body["body"], said[0].body["method"]) == ("YWJj", "POST")
+
+
+def test_counters_are_a_page() -> None:
+    assert page({"ended: done": 2, "called: answered": 3}) == b"called_answered 3\nended_done 2\n"
+
+
+# -- commands
+
+
+class Control:
+    """A control relay that gives prepared answers, in order; the last one again and again."""
+
+    def __init__(self) -> None:
+        self.answers: dict[str, list[tuple[int, Any]]] = {}
+        self.asked: list[tuple[str, str, dict[str, str], bytes]] = []
+        rig = self
+
+        class Handler(BaseHTTPRequestHandler):
+            def do_GET(self) -> None:  # noqa: N802
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                headers = {name.lower(): value for name, value in self.headers.items()}
+                rig.asked.append((self.command, self.path, headers, body))
+                left = rig.answers.get(self.path.partition("?")[0], [(404, {"cause": "no call"})])
+                status, data = left.pop(0) if len(left) > 1 else left[0]
+                text = data if isinstance(data, bytes) else json.dumps(data).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(text)))
+                if status == 202:
+                    self.send_header("Amberlug-Message-Name", "1-new")
+                self.end_headers()
+                self.wfile.write(text)
+
+            do_POST = do_GET  # noqa: N815
+
+            def log_message(self, *args: Any) -> None: ...
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.at = f"127.0.0.1:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, args=(0.01,), daemon=True).start()
+
+    def foreman(self, *words: str) -> Result:
+        return CliRunner().invoke(cli, ["foreman", *(self.at if it == "@" else it for it in words)])
+
+
+@pytest.fixture
+def control() -> Iterator[Control]:
+    rig = Control()
+    yield rig
+    rig.server.shutdown()
+    rig.server.server_close()
+
+
+NEW = {**config(), "edition": 4}
+READ, REPLACE = "/-/Configuration.Read", "/-/Configuration.Replace"
+FOUND = {
+    "id": "1-a",
+    "host": "h",
+    "method": "POST",
+    "target": "/a",
+    "headers": [["x-a", "b"]],
+    "body": "YWJj",
+}
+COMMANDS = [
+    # the command, what the relay answers by path, the exit code, what is said
+    ("status --at 127.0.0.1:9", {}, UNCLEAR, "refused"),
+    ("status --at nowhere", {}, 2, "no address"),
+    (
+        "message 1-a --at @",
+        {"/-/message/1-a": [(200, {"condition": "completed", "seal": "z"})]},
+        DONE,
+        "seal z",
+    ),
+    ("message 1-a --at @", {"/-/message/1-a": [(404, {"cause": "no such message"})]}, REFUSED, "no such"),
+    ("message 1-a --at @", {"/-/message/1-a": [(503, {"cause": "not now"})]}, UNCLEAR, "not now"),
+    (
+        "message 1-a --at 127.0.0.1:9 --at @",
+        {"/-/message/1-a": [(200, {"condition": "failed"})]},
+        DONE,
+        "failed",
+    ),
+    ("message 1-a --body --at @", {"/-/message-body/1-a": [(200, b"abc")]}, DONE, "abc"),
+    ("counters --at @ --json", {"/-/Foreman.Counters": [(200, b"a 1\nb 2\n")]}, DONE, '{"a": 1, "b": 2}'),
+    ("config show --at @", {READ: [(200, NEW)]}, DONE, '"edition": 4'),
+    ("config show --at @", {}, REFUSED, "no configuration"),
+    ("config check NEW", {}, DONE, "edition 4"),
+    ("config check BAD", {}, BAD, "routeTable.0.targetService"),
+    ("config check none.json", {}, BAD, "No such file"),
+    ("config diff NEW --at @", {READ: [(200, config())]}, DONE, "edition 1 -> 4"),
+    ("config push BAD --at @", {}, BAD, "routeTable.0.targetService"),
+    ("config push NEW --at @", {REPLACE: [(200, {})]}, DONE, "edition 4 is in force"),
+    ("config push NEW --at @", {READ: [(200, NEW)]}, DONE, "already"),
+    ("config push NEW --at @ --base 3", {REPLACE: [(503, {}), (503, {}), (200, {})]}, DONE, "is in force"),
+    ("config push NEW --at @ --base 3", {REPLACE: [(412, {"cause": "2 is in place"})]}, REFUSED, "412: 2 is"),
+    (
+        "config push NEW --at @ --base 3 --for 0",
+        {REPLACE: [(503, {"cause": "no majority"})]},
+        UNCLEAR,
+        "no maj",
+    ),
+    ("retire s1 --at @", {}, 2, "either"),
+    (
+        "retire s1 --at @ --seconds 5",
+        {"/-/Retire.Begin/s1": [(409, {"cause": "too few"})]},
+        REFUSED,
+        "too few",
+    ),
+    (
+        "retire s1 --at @ --read",
+        {"/-/Retire.Read/s1": [(200, {"condition": "in_progress"})]},
+        DONE,
+        "in_prog",
+    ),
+    (
+        "dead list --at @",
+        {
+            "/-/Foreman.Dead": [
+                (200, {"rows": [], "silent": ["s1"], "after": "x"}),
+                (200, {"rows": [], "silent": []}),
+            ]
+        },
+        DONE,
+        "store s1",
+    ),
+    (
+        "dead again 1-a --at @ --front @",
+        {"/-/Foreman.Dead/1-a": [(200, FOUND)], "/a": [(202, b"")]},
+        DONE,
+        "1-new",
+    ),
+    (
+        "dead again 1-a --at @ --front @",
+        {"/-/Foreman.Dead/1-a": [(200, FOUND)], "/a": [(503, {}), (202, b"")]},
+        DONE,
+        "1-new",
+    ),
+    (
+        "dead again 1-a --at @ --front @",
+        {"/-/Foreman.Dead/1-a": [(200, FOUND)], "/a": [(504, {})]},
+        UNCLEAR,
+        "may",
+    ),
+    ("dead again 1-a --at @ --front @", {"/-/Foreman.Dead/1-a": [(200, FOUND)]}, REFUSED, "404"),
+    ("check deploy DEPLOY", {}, DONE, "well formed"),
+    ("check settings none.yaml", {}, BAD, "file:"),
+]
+
+
+@pytest.mark.parametrize(("words", "answers", "code", "said"), COMMANDS)
+def test_commands(
+    control: Control, tmp_path: Path, words: str, answers: dict[str, Any], code: int, said: str
+) -> None:
+    bad = {**NEW, "routeTable": [{**NEW["routeTable"][0], "targetService": "none"}]}
+    for name, data in (("NEW", NEW), ("BAD", bad)):
+        (tmp_path / name).write_text(json.dumps(data))
+    files = {
+        "NEW": str(tmp_path / "NEW"),
+        "BAD": str(tmp_path / "BAD"),
+        "DEPLOY": str(ROOT / "deploy/system.toml"),
+    }
+    control.answers = {path: list(it) for path, it in answers.items()}
+    result = control.foreman(*(files.get(it, it) for it in words.split()))
+    assert (result.exit_code, said in result.output) == (code, True), result.output
+
+
+def test_a_push_is_sent_again_unchanged(control: Control, tmp_path: Path) -> None:
+    (tmp_path / "c").write_text(json.dumps(NEW))
+    control.answers = {READ: [(200, config())], REPLACE: [(503, {}), (503, {}), (200, {})]}
+    assert control.foreman("config", "push", str(tmp_path / "c"), "--at", "@").exit_code == DONE
+    pushed = [
+        (headers["amberlug-base-version"], body)
+        for _, path, headers, body in control.asked
+        if path == REPLACE
+    ]
+    assert pushed == [("1", json.dumps(NEW).encode())] * 3
+
+
+def test_a_dead_message_goes_again_as_it_came(control: Control) -> None:
+    control.answers = {"/-/Foreman.Dead/1-a": [(200, FOUND)], "/a": [(202, b"")]}
+    for _ in range(2):
+        control.foreman("dead", "again", "1-a", "--at", "@", "--front", "@")
+    (_, _, first, body), (_, _, second, _) = [it for it in control.asked if it[1] == "/a"]
+    assert (first["host"], first["x-a"], body) == ("h", "b", b"abc")
+    assert first["amberlug-attempt-id"] != second["amberlug-attempt-id"]
+
+
+# -- files
+
+ROLE = 'run = "python3 -m workshop run"\nshare = 1.0\n'
+STORE = f'[roles.s]\n{ROLE}on = "storage"\nserves = ["storage"]\n'
+CORE = f'[roles.c]\n{ROLE}on = "core"\nserves = ["control_plane"]\n'
+EDGE_ROLE = f'[roles.e]\n{ROLE}on = "edge"\nserves = ["edge"]\n'
+DEPLOYS = [
+    (STORE + CORE + EDGE_ROLE, []),
+    ("roles = 3", ["roles"]),
+    ("[roles", ["file"]),
+    (STORE + CORE, ["roles: none serves edge"]),
+    (STORE.replace('on = "storage"', 'on = "core"') + CORE + EDGE_ROLE, ["roles.s.serves"]),
+    (STORE + CORE + EDGE_ROLE.replace("1.0", "1.5"), ["roles.e.share"]),
+    (STORE + CORE + EDGE_ROLE + "count = 2\n", ["roles.e: takes one"]),
+    (STORE + CORE + EDGE_ROLE + "shares = 2\n", ["roles.e.shares"]),
+    (STORE + CORE + EDGE_ROLE.replace("python3", "env A=1 python3"), ["roles.e.run"]),
+    (STORE + CORE + EDGE_ROLE.replace("workshop run", "workshop run | cat"), ["roles.e.run"]),
+    (STORE + CORE + EDGE_ROLE + EDGE_ROLE.replace("roles.e", "roles.f"), ["roles: 2 on the class edge"]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("text", "places"), DEPLOYS)
+def test_deploy_files(tmp_path: Path, text: str, places: list[str]) -> None:
+    (tmp_path / "d.toml").write_text(text)
+    errors = check_deploy(tmp_path / "d.toml")
+    assert len(errors) == len(places), errors
+    assert all(error.startswith(place) for error, place in zip(errors, places, strict=True)), errors
+
+
+SETTINGS: list[tuple[str, Json, list[str]]] = [
+    ("edge-1", {}, []),
+    ("core-1", {}, []),
+    ("core-1", {"dataDir": None}, ["dataDir"]),
+    ("storage-1", {"dataDir": None, "seedNodes": []}, ["seedNodes", "dataDir"]),
+    ("edge-1", {"bindings": {}}, ["bindings.front", "bindings.readiness"]),
+    ("edge-1", {"serves": ["edge", "storage"], "dataDir": "x"}, ["serves"]),
+    ("edge-1", {"serves": ["edges"]}, ["serves: 'edges'", "serves: one"]),
+    ("edge-1", {"internalPorts": [7], "zone": 3}, ["zone", "internalPorts"]),
+]
+
+
+@pytest.mark.parametrize(("name", "change", "places"), SETTINGS)
+def test_settings_files(tmp_path: Path, name: str, change: Json, places: list[str]) -> None:
+    deployment = Deployment(tmp_path, "127.0.1")
+    deployment.write(first_start=True)
+    path = deployment.machines[name].path
+    path.write_text(yaml.safe_dump({**yaml.safe_load(path.read_text()), **change}))
+    errors = check_settings(path)
+    assert len(errors) == len(places), errors
+    assert all(any(error.startswith(place) for error in errors) for place in places), errors
+
+
+def test_differences_name_what_changes() -> None:
+    old, new = config(), config()
+    new["routeTable"][0]["expiryMs"] = 9
+    new["routeTable"][1]["name"] = "other"
+    del new["limits"]["idleTimerMs"]
+    assert differences(old, new) == [
+        "- routeTable to-clear",
+        "+ routeTable other",
+        "~ routeTable to-weigh: expiryMs 1500 -> 9",
+        "~ limits: idleTimerMs 15000 -> none",
+    ]
+
+
+# -- a trial
+
+SENT = Sent("k", False, 1.0, "a", "1-a", 1.1, condition="completed", seal="z")
+NEXT = Sent("k", False, 1.2, "b", "1-b", 1.3, condition="completed", seal="y")
+RAN = [Run("a", "k", 1.1, 1.2, 200, "z"), Run("b", "k", 1.3, 1.4, 200, "y")]
+TALES: list[tuple[list[Sent], list[Run], list[str]]] = [
+    ([SENT, NEXT], RAN, []),
+    ([], [], ["no message"]),
+    ([Sent("", False, 1.0, "a", "1-a", 1.1)], [], ["1-a: accepted, and is pending"]),
+    ([SENT], [Run("a", "k", 1.1, 1.2, 200, "other")], ["1-a: completed with the seal"]),
+    ([Sent("", True, 1.0, "a", "1-a", 1.1, condition="failed")], [Run("a", "", 1.1, 1.2, 422)], []),
+    ([Sent("", True, 1.0, "a", "1-a", 1.1, condition="failed")], [], ["1-a: can't be done"]),
+    ([SENT, NEXT], [Run("a", "k", 1.1, 1.35, 200, "z"), RAN[1]], ["1-b: began before 1-a"]),
+]
+
+
+@pytest.mark.parametrize(("sent", "runs", "wrong"), TALES)
+def test_trials_are_judged(sent: list[Sent], runs: list[Run], wrong: list[str]) -> None:
+    judged = Tale(sent, runs).judged()
+    assert [it.startswith(start) for it, start in zip(judged, wrong, strict=True)] == [True] * len(wrong)
+
+
+def test_a_whole_deployment_keeps_what_it_accepted(tmp_path: Path) -> None:
+    chance = random.Random()
+    net = f"127.{chance.randrange(2, 255)}.{chance.randrange(1, 255)}"
+    lines: list[str] = []
+    tale = asyncio.run(play(tmp_path, net, 20.0, 3.0, chance, lines.append))
+    assert tale.figures()["wrong"] == []
+    assert len(tale.accepted()) > 20
+    assert sum("is killed" in it for it in lines) == 2
--- a/workshop/foreman/files.py
+++ b/workshop/foreman/files.py
@@ -77,18 +77,27 @@
     return value
 
 
+def _share(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value <= 1:
+        raise t.DataError("is no number over 0 and up to 1", value=value)
+    return float(value)
+
+
 _ROLE = t.Dict(
     {
         t.Key("run"): t.String() & _command,
         t.Key("on"): t.String(),
-        t.Key("share", optional=True): (t.Int() | t.Float()) & t.Float(gt=0, lte=1) | t.Int(gte=1, lte=1),
+        t.Key("share", optional=True): t.Any() & _share,
         t.Key("count", optional=True): t.Int(gte=1),
         t.Key("apart", optional=True): t.Bool(),
         t.Key("serves", default=list): t.List(t.Enum(*PARTS)),
     }
 )
 _DEPLOY = t.Dict(
-    {t.Key("build", optional=True): t.String(), t.Key("roles"): t.Mapping(t.String(), _ROLE)},
+    {
+        t.Key("build", optional=True): t.String(),
+        t.Key("roles"): t.Dict(allow_extra="*", allow_extra_trafaret=_ROLE),
+    },
 )
 
 
--- a/workshop/foreman/show.py
+++ b/workshop/foreman/show.py
@@ -63,7 +63,7 @@
         if edition != status["configuration"]["edition"]
     ]
     yield f"configuration: edition {status['configuration']['edition']} agreed; " + (
-        "; ".join(behind) or "all edges have it"
+        "; ".join(behind) or ("all edges have it" if edges else "no edge is a member")
     )
     tally = Tally((it["service"], it["cond"]) for it in status["endpoints"])
     for (service, condition), number in sorted(tally.items()):
