Have edges tell each other what they have heard of, and fetch only what they lack

Need: an edge sent every item of news whole to two others, though nearly all had it from their control relays: a table of shards with 71 owners is some 11 KB, three times to each edge, at every change. Control relays still send items whole.

--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -55,7 +55,7 @@
     def __init__(self, world: World, settings: Settings, address: str, disk: Disk, saved: Saved) -> None:
         self.world, self.settings, self.address = world, settings, address
         self.book, self.sessions = Book(), Sessions()
-        self.news = News(world, self._others, lambda key, value: None, pass_on=1 << 16)
+        self.news = News(world, self._others, lambda key, value: None, to_all=True)
         self.cell = Cell(world, self.news, settings.heartbeat_s)
         self.vise = Vise(
             world, disk, saved, self._apply, self.book.to_json, self.book.from_json, self._changed
