Tell the next owner of a call whose route went to another service meanwhile

Cause: a shard's owner looked for a message's call at the service of the newest configuration only. Change: calls of all services are looked through.

--- a/tests/workshop/test_found.py
+++ b/tests/workshop/test_found.py
@@ -83,3 +83,15 @@
     )
     day.clock.run(day.clock.now + 1.0)
     assert sum(run.attempt == message.attempt for run in day.history.runs) == 1
+
+
+def test_a_call_is_told_of_after_its_route_went_elsewhere() -> None:
+    day = Calm(1)
+    day.play()
+    day.clients.send("/plain/")
+    edges = [it.part for it in day.deployment.edges]
+    while not any(it.out for edge in edges for it in edge.rack.messages.values()):
+        day.clock.run(day.clock.now + 0.001)
+    edge, message = next((edge, it) for edge in edges for it in edge.rack.messages.values() if it.out)
+    message.service = "beta"
+    assert [it.out for it in edge._release(message.shard)] == [True]
--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -499,8 +499,8 @@
         return gone
 
     def _calls_of(self, message: Message) -> list[Any]:
-        service = self.services.get(message.service)
-        return list(service.calls) if service is not None else []
+        # A new configuration may have sent the message elsewhere while its call is out at another service.
+        return [out for it in self.services.values() for out in it.calls if out.message is message]
 
     def _sweep(self) -> None:
         self.world.later(SWEEP_S, self._sweep)
