--- a/tests/workshop/test_jig.py
+++ b/tests/workshop/test_jig.py
@@ -31,7 +31,7 @@
         ("old-vote", 15),
         ("no-fence", 11),
         ("drain-alone", 58),
-        ("config-back", 10),
+        ("config-back", 1),
         ("order-lost", 39),
         ("unclear-refused", 28),
         ("forgotten-end", 44),
