Take a message that ended under an earlier owner for ended when it is offered again

Cause: a store that knows an end answers a put with it, and the owner read that answer as a copy that is held: a message whose first accept stayed unclear, was run by the next owner and is then offered again under its name, would have run twice. Suspected on reading; the jig has not drawn it yet. Change: the answer carries the end, and the owner notes it instead of taking the message in hand.

--- a/workshop/lathe/shards.py
+++ b/workshop/lathe/shards.py
@@ -350,7 +350,9 @@
             )  # fmt: skip
             held = self.mine.get(number)
             still = held is not None and held.epoch == shard.epoch
-            if put is Put.HELD and still:
+            if put is Put.HELD and message.end:
+                self._settle(message.id, message.end, message.seal, False)
+            elif put is Put.HELD and still:
                 self._take(message)
             del self.put_since[message.id]
             for answer in self.putting.pop(message.id):
--- a/workshop/lathe/spread.py
+++ b/workshop/lathe/spread.py
@@ -129,7 +129,7 @@
             if self.enough(holders):
                 break
             holders.add(name)
-        for name in holders:
+        for name in sorted(holders):
             if self.stores[name].state == "lost":
                 continue
             if not self._marks.get(name) and name not in self._telling:
@@ -229,7 +229,7 @@
         if self.spread.world.now() >= self.until:
             self._end(Put.UNCLEAR)
             return
-        for name in self.waiting:
+        for name in sorted(self.waiting):
             self.spread.suspect(name, HEDGE_S)
         if self.left:
             self.spread.hedges += 1
@@ -256,7 +256,10 @@
             self.spread.suspect(name, 0.3 if reply.err_value is not Lost.SILENT else SUSPECT_S)
         elif reply.ok_value.body.get("ok"):
             self.message.holders.add(reply.ok_value.body["disk"])  # its machine may have another one by now
-            if self.message.end:
+            if "end" in reply.ok_value.body:  # it was taken and has ended under an earlier owner
+                self.message.end, self.message.seal = reply.ok_value.body["end"], reply.ok_value.body["seal"]
+                self._end(Put.HELD)
+            elif self.message.end:
                 self.spread.mark(self.message, self.message.end, self.message.seal)
         elif reply.ok_value.body.get("fenced"):
             self._end(Put.FENCED)
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -363,7 +363,7 @@
         if not live or "give" in self._busy:
             return
         owners = [str(it[0]) for it in self.book.shards]
-        held = set(owners)
+        held = sorted(set(owners))
         settled = now - self.vise.led_since > SETTLED_S
         again = {it.name for it in edges.values()}  # a machine that is back has no earlier life any more
         gone = []
--- a/workshop/machine/store.py
+++ b/workshop/machine/store.py
@@ -99,7 +99,7 @@
             return
         known = self.kept.get(name)
         if known is not None and known.end:
-            respond({"ok": True, "disk": self.disk, "end": known.end}, b"")
+            respond({"ok": True, "disk": self.disk, "end": known.end, "seal": known.seal}, b"")
             return
         # A message that a later owner copies once more keeps the place that it was accepted at.
         number, seq = body["order"]
