--- a/workshop/hatch/server.py
+++ b/workshop/hatch/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import re
 import select
 from collections.abc import Callable
@@ -156,6 +157,7 @@
         self._stays, self._waits = True, False
         self._stuck = self._reading = False
         self._unwritten = self._unread = 0
+        self.until = NEVER  # the loop's time from which on an answer is its last
         self.held = False  # not read from, as there is enough ahead
         self.asked = False  # it has had an answer
         self.phase, self.due = IDLE, NEVER
@@ -222,7 +224,7 @@
     def answer(self, answer: Answer, head_only: bool) -> None:
         """Write the answer to the open request; for a client that has hung up it is dropped."""
         server = self._server
-        last = answer.close or server.leaving or not self._stays
+        last = answer.close or server.leaving or not self._stays or server.time() > self.until
         written = _written(answer, head_only, last)
         server.open_requests -= 1
         if self._transport is None or self.phase != OPEN:
@@ -381,8 +383,9 @@
 class Server:
     """All connections of one listening address, with counts of what came of them."""
 
-    def __init__(self, handle: Handler, limits: Callable[[], Limits]) -> None:
+    def __init__(self, handle: Handler, limits: Callable[[], Limits], age_s: float = NEVER) -> None:
         self.handle, self._read_limits = handle, limits
+        self._age_s = age_s  # a connection that is older ends with its next answer
         self.limits = limits()  # read anew with each sweep
         self.time: Callable[[], float] = lambda: 0.0  # the loop's
         self.leaving = False
@@ -431,7 +434,9 @@
         """Take a new connection in."""
         self.opened += 1
         self._connections.add(connection)
-        connection.due = self.time() + (self.limits.header_s if self.leaving else self.limits.idle_s)
+        now = self.time()
+        connection.due = now + (self.limits.header_s if self.leaving else self.limits.idle_s)
+        connection.until = now + self._age_s * random.uniform(0.7, 1.3)  # not all at once
 
     def remove(self, connection: _Connection) -> None:
         """Forget a connection that is closed."""
--- a/workshop/lathe/endpoints.py
+++ b/workshop/lathe/endpoints.py
@@ -92,16 +92,14 @@
             self.all[name] = endpoint
             self.services.setdefault(service, {})[name] = endpoint
 
-    def most(self, endpoint: Endpoint, edges: int) -> int:
-        """How many calls of this edge may be out there: its part of the slots and a short line."""
-        return max(1, round(1.5 * endpoint.slots / max(1, edges)))
-
-    def pick(self, service: str, edges: int, now: float, not_at: str = "") -> Endpoint | None:
+    def pick(self, service: str, now: float, not_at: str = "") -> Endpoint | None:
         """The endpoint that a call would wait least at, as far as this edge can know."""
         best: Endpoint | None = None
         least = (9e9, 0.0)
         for it in self.services.get(service, {}).values():
-            if not it.usable(now, self.most(it, edges)):
+            # No part of the slots is set aside for other edges: clients choose theirs unevenly, and an
+            # endpoint that is full says so at once.
+            if not it.usable(now, it.slots):
                 continue
             weight = it.out / it.slots + (FAR if it.zone != self.zone else 0.0)
             weight += 0.0 if self._idle(it.address) else FRESH
--- a/workshop/lathe/service.py
+++ b/workshop/lathe/service.py
@@ -70,12 +70,11 @@
         world: World,
         pool: Pool,
         endpoints: Endpoints,
-        edges: Callable[[], int],
         timeout_s: Callable[[Message], float],
         finished: Callable[[Message, Called], None],
     ) -> None:
         self.name, self.world, self.pool, self.endpoints = name, world, pool, endpoints
-        self._edges, self._timeout_s, self._finished = edges, timeout_s, finished
+        self._timeout_s, self._finished = timeout_s, finished
         self.account = Account(_SETTINGS, None)
         self.line: list[tuple[int, float, int, Message]] = []  # rank, due, number
         self.calls: dict[Out, None] = {}
@@ -119,7 +118,7 @@
                 self._at((opening - now_us) / SECOND)
                 return
             now = self.world.now()
-            endpoint = self.pool.pick(self.name, self._edges(), now, message.last)
+            endpoint = self.pool.pick(self.name, now, message.last)
             if endpoint is None or len(self.calls) >= SLOTS:
                 chance = self.pool.next_chance(self.name, now)
                 if chance is not None:
@@ -187,7 +186,7 @@
             self.refused += 1
             endpoint.doubt_until = now + FULL_S
             # One full endpoint tells nothing of its service: a limit is learned where none is left.
-            told = called.status == 429 or self.pool.pick(self.name, self._edges(), now) is None
+            told = called.status == 429 or self.pool.pick(self.name, now) is None
             if told and out.start_us > account.learned_us:
                 account.refused(now_us, 1.0)
             wait = called.header("retry-after")
--- a/workshop/program.py
+++ b/workshop/program.py
@@ -27,6 +27,7 @@
 WATCH_S = 2.0  # between looks at the settings file
 SWEEP_S = 0.5
 STILL_SERVED_S = 2.6  # after SIGTERM until the platform sends nobody here any more
+AGE_S = 6.0  # that clients keep a connection: they stay where they were sent when others were down
 SPARE_S = 0.8  # of the grace that is left for the end
 JSON = (("Content-Type", "application/json"),)
 PLAIN = (("Content-Type", "text/plain; charset=utf-8"),)
@@ -155,7 +156,7 @@
             caller.sweep()
             world.later(SWEEP_S, sweep)
 
-        await self._serve(self.settings.front, handle, limits)
+        await self._serve(self.settings.front, handle, limits, AGE_S)
         await self._serve(self.settings.readiness, readiness)
         sweep()
 
@@ -164,9 +165,10 @@
         at: tuple[str, int] | None,
         handle: Callable[[Request, Callable[[Answer], None]], None],
         limits: Callable[[], Limits] = lambda: CONTROL_LIMITS,
+        age_s: float = float("inf"),
     ) -> None:
         if at is not None:
-            server = Server(handle, limits)
+            server = Server(handle, limits, age_s)
             await server.listen(*at)
             self.servers.append(server)
 
