--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -221,6 +221,7 @@
                 self.world,
                 self.pool,
                 self.endpoints,
+                lambda: self.shards.edges,
                 self._timeout_s,
                 self._finished,
             )
