Write entries again that a core machine's disk refused, and acknowledge none before

Cause: a follower whose disk refused an entry answered the leader's next word for it after an empty write that succeeded, and a later entry was taken for all before it: what was called committed lay on fewer disks than a majority, and the log on that disk had a gap, with which its machine starts as a stranger. Change: only what is on disk without a gap counts as written; what was refused is written again 0.1 s later with all behind it.

--- a/workshop/vise/agree.py
+++ b/workshop/vise/agree.py
@@ -105,6 +105,7 @@
         self._confirms: list[tuple[int, Callable[[int | None], None]]] = []
         self._timer: Handle | None = None
         self._stopped = False
+        self._refused = False  # whether the disk has refused entries that are not written again yet
         if self.state is not None:
             restore(self.state)
         self._find_members()
@@ -291,16 +292,30 @@
         last, term = first + len(entries) - 1, self.term
 
         def done(error: str | None) -> None:
-            if error is not None or self._stopped:
+            if self._stopped:
                 return
-            if self.term == term and last <= self.last:
+            if error is not None:
+                if not self._refused:
+                    self._refused = True
+                    self.world.later(BEAT_S, self._save_rest)
+                return
+            if self.term == term and first <= self.synced + 1 and last <= self.last:
                 self.synced = max(self.synced, last)
             if then is not None:
                 then()
             if self.role is Role.LEADER:
                 self._count()
 
-        self.disk.write(rows, done)
+        if not self._refused:  # else it is written with the rest
+            self.disk.write(rows, done)
+
+    def _save_rest(self, then: Callable[[], None] | None = None) -> None:
+        """Write all that is not known to be on disk: a log with a gap would be worth nothing at a start."""
+        self._refused = False
+        rest = self.entries[max(0, self.synced - self.start) :]
+        if rest:
+            first = self.last - len(rest) + 1
+            self._save_entries(first, rest, first, then)
 
     def _meet(self) -> None:
         """Keep a record of each other member while leading."""
@@ -455,6 +470,7 @@
         self.start_term = self.term_at(self.applied)
         self.entries = self.entries[self.applied - self.start :]
         self.start, self.state, self.base_members = self.applied, self._snapshot(), members
+        self.synced = max(self.synced, self.start)  # a majority has it, and the snapshot comes after
         self.disk.write([("snap", (self.start, self.start_term, self.state, members))], lambda error: None)
 
     # -- what a follower hears
@@ -502,16 +518,18 @@
             self.entries += fresh
             self._find_members()
 
+        term = body["term"]
+
         def answer() -> None:
-            respond({"ok": True, "term": self.term}, b"")
+            if self.term == term and self.synced >= upto:
+                respond({"ok": True, "term": term}, b"")
 
-        term = body["term"]
         if fresh:
-            self._save_entries(before + at + 1, fresh, cut, lambda: answer() if self.term == term else None)
+            self._save_entries(before + at + 1, fresh, cut, answer)
         elif self.synced >= upto:
             answer()
         else:
-            self.disk.write([], lambda error: answer() if error is None and self.term == term else None)
+            self._save_rest(answer)
         commit = min(body["commit"], upto)
         if commit > self.commit:
             self.commit = commit
