Have the jig's disks forget no batch that is queued while another one is told of

Cause: a write's callback that asked its disk for more (a fence that then reads bodies) began the next batch, and the loop behind it began one more over it: what stood in the first was neither written nor answered. Change: the next batch begins only where none is under way.

--- a/workshop/jig/disk.py
+++ b/workshop/jig/disk.py
@@ -61,7 +61,8 @@
             then(None)
         if not self.full and any(kind in ("put", "entry") for rows, _ in batch for kind, _ in rows or ()):
             self.on_kept()
-        self._begin()
+        if not self._batch:  # else what was told has asked for more already
+            self._begin()
 
     def lose(self) -> None:
         """The process or the power is gone: what is under way is there or not, what waits is not."""
--- a/workshop/jig/footing.py
+++ b/workshop/jig/footing.py
@@ -17,7 +17,7 @@
 SETTINGS_S = (0.2, 3.0)  # until processes hear of a settings file that has changed
 WITHIN_S = 1.0
 ASK_S = 0.4  # between questions about a store that is emptied
-RETIRE_S = 12.0  # for a store to be emptied
+RETIRE_S = 8.0  # for a store to be emptied
 SLOWER = 25
 
 
