Have a store forget a message whose copy its disk refused, however often it was sent

Cause: a second put of a message found the first one, which was still being written, and took it for a copy: when a full disk refused both, the message stayed on the store's list without bytes. Who took its shard over held up the whole key with it, or told a client that it is held. A fence that came before the disk's word listed such a message as well. Change: a store knows of each message whether it lasts, and forgets one that does not; a fence leaves out what was refused.

--- /dev/null
+++ b/tests/workshop/fakes.py
@@ -0,0 +1,43 @@
+"""Stand-ins for what one machine is given, for tests of a single one."""
+
+import random
+from collections.abc import Callable
+
+from workshop.jig.clock import Clock, Timer
+from workshop.jig.deployment import Deployment, Machine
+from workshop.ports import Json, Then
+from workshop.settings import Settings
+
+
+class Alone:
+    """A world in which nobody answers; what was asked is kept."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock, self.chance = clock, random.Random(1)
+        self.asked: list[tuple[str, str, Json, Then]] = []
+
+    def now(self) -> float:
+        return self.clock.now
+
+    def wall(self) -> float:
+        return self.clock.now
+
+    def later(self, seconds: float, act: Callable[[], None]) -> Timer:
+        timer = Timer(act)
+        self.clock.later(seconds, timer.fire)
+        return timer
+
+    def tell(self, to: str, word: str, body: Json, blob: bytes = b"") -> None:
+        pass
+
+    def ask(self, to: str, word: str, body: Json, within: float, then: Then, blob: bytes = b"") -> None:
+        self.asked.append((to, word, body, then))
+
+
+def settings(kind: str) -> Settings:
+    """The settings file of a machine of some kind in a small deployment."""
+    deployment = Deployment(1, 3, 1, 3, 3, [], 1.0)
+    machines: dict[str, list[Machine]] = {
+        "edge": deployment.edges, "store": deployment.stores, "core": deployment.cores
+    }  # fmt: skip
+    return deployment.settings(machines[kind][0])
--- a/tests/workshop/test_vise.py
+++ b/tests/workshop/test_vise.py
@@ -1,39 +1,16 @@
 """Members of the core's log, one at a time."""
 
-import random
 from collections.abc import Callable
 from typing import Any
 
-from workshop.jig.clock import Clock, Timer
-from workshop.ports import Json, Then
+from tests.workshop.fakes import Alone
+from workshop.jig.clock import Clock
+from workshop.ports import Json
 from workshop.vise.agree import Saved, Vise
 
 MEMBERS = {name: {"addr": name, "voter": True} for name in "abc"}
 
 
-class Alone:
-    """A world in which nobody answers."""
-
-    def __init__(self, clock: Clock) -> None:
-        self.clock, self.chance = clock, random.Random(1)
-
-    def now(self) -> float:
-        return self.clock.now
-
-    wall = now
-
-    def later(self, seconds: float, act: Callable[[], None]) -> Timer:
-        timer = Timer(act)
-        self.clock.later(seconds, timer.fire)
-        return timer
-
-    def tell(self, to: str, word: str, body: Json, blob: bytes = b"") -> None:
-        pass
-
-    def ask(self, to: str, word: str, body: Json, within: float, then: Then, blob: bytes = b"") -> None:
-        pass
-
-
 class Refusing:
     """A disk that refuses entries for a while."""
 
--- a/workshop/chest/drawer.py
+++ b/workshop/chest/drawer.py
@@ -37,6 +37,7 @@
     end: str = ""
     seal: str = ""
     keep_until: float = 0.0  # time of day: an end is told until then, and while a copy might be found open
+    lasts: bool = True  # whether the disk has it, and is not only about to
 
     def place(self) -> tuple[int, int, int]:
         """Its shard, and its order there."""
--- a/workshop/machine/store.py
+++ b/workshop/machine/store.py
@@ -104,19 +104,22 @@
         # A message that a later owner copies once more keeps the place that it was accepted at.
         number, seq = body["order"]
         disk = self.disk
-        kept = Kept(shard, number, seq, body["meta"], len(blob))
+        kept = Kept(shard, number, seq, body["meta"], len(blob), lasts=known is not None and known.lasts)
         self.kept[name] = kept  # at once, so that an owner who comes now finds it
 
         def done(error: str | None) -> None:
             if error is None:
                 self.full = False
                 self._count("put")
+                # Guards against a second put of it: what comes of the one must not undo the other.
+                self.kept.setdefault(name, kept).lasts = True
                 respond({"ok": True, "disk": disk}, b"")
                 return
             if not self.full:
                 logging.error("a message can't be kept: %s", error)
             self.full = True
-            if self.kept.get(name) is kept and known is None:
+            now = self.kept.get(name)
+            if now is not None and not now.lasts and not now.end:
                 del self.kept[name]
             respond({"full": True}, b"")
 
@@ -160,11 +163,13 @@
                 along.append(name)
 
         def answer(bodies: dict[str, bytes]) -> None:
+            # Guards against what was about to be kept when the fence came, and was refused by the disk since.
+            there = [(name, it) for name, it in found if name in self.kept]
             messages = [
                 [name, *it.place(), it.meta, it.size, len(bodies[name]) if name in bodies else -1]
-                for name, it in found
+                for name, it in there
             ]  # fmt: skip
-            parts = b"".join(bodies[name] for name, _ in found if name in bodies)
+            parts = b"".join(bodies[name] for name, _ in there if name in bodies)
             respond({"ok": True, "disk": self.disk, "refused": refused, "open": messages}, parts)
 
         def done(error: str | None) -> None:
