Tell the end of a message to all stores that may hold an open copy of it

Cause: an end went to the stores of the put that was held. One that an earlier try had reached, one that was silent when the shard was taken over, and one whose open copy the new owner passed over since another store knew of the end, were told nothing: once those who knew had lost their disks, a later owner would find the copy open and run the message again, out of its order. Change: an owner tells ends to those as well; for how long is bounded by the shard's epoch and by the number of tries kept.

--- a/workshop/lathe/shards.py
+++ b/workshop/lathe/shards.py
@@ -40,6 +40,7 @@
     serving: bool = False
     numbers: int = 0
     waiting: list[tuple[Message, Callable[[Taken], None]]] = field(default_factory=list)
+    unheard: frozenset[str] = frozenset()  # disks that did not tell what they hold when it was taken over
 
 
 @dataclass(slots=True)
@@ -74,6 +75,7 @@
         self.table: list[list[int]] = []
         self.putting: dict[str, list[Callable[[Taken], None]]] = {}
         self.put_since: dict[str, float] = {}
+        self._tried: dict[str, set[str]] = {}  # disks that may hold what was not held by enough
         self._handed: dict[tuple[int, int], Json] = {}  # what owners before have said, by shard and epoch
         self._early: dict[str, tuple[str, str, bool]] = {}  # outcomes that came before their message was read
         self._loads: list[_Load] = []
@@ -261,13 +263,16 @@
             nonlocal left
             left -= 1
             if isinstance(reply, Ok):
-                for name, (end, _) in reply.ok_value.body["found"].items():
-                    if end:
-                        load.found.pop(name, None)
+                for name, (end, seal) in reply.ok_value.body["found"].items():
+                    message = load.found.pop(name, None) if end else None
+                    if message is not None:
+                        # Guards against an open copy that outlasts all who know of its end.
+                        message.asked |= set(self.spread.stores) - load.heard
+                        self.spread.mark(message, end, seal)
             if left == 0:
                 self._serve(load)
 
-        for name in load.heard:
+        for name in sorted(load.heard):
             store = self.spread.stores.get(name)
             unlisted = [key for key in load.found if key not in load.listed[name]]
             if store is not None and unlisted:
@@ -287,6 +292,7 @@
             if (shard := self.mine.get(number)) is not None and shard.epoch == epoch
         ]
         numbers = {number for number, _ in now}
+        unheard = frozenset(set(self.spread.stores) - load.heard)
         out: dict[str, str] = {}
         for number, shard in now:
             said = self._handed.pop((number, shard.epoch), None)
@@ -300,13 +306,14 @@
                 self._settle(message.id, end, seal, False)
                 continue
             message.failures += failed is True
+            message.asked |= unheard
             if message.id in out and failed is None:
                 message.out = True
                 self.away[message.id] = out[message.id]
                 self.world.later(AWAY_S, partial(self._no_outcome, message.id))
             self._take(message)
         for number, shard in now:
-            shard.serving = True
+            shard.serving, shard.unheard = True, unheard
             waiting, shard.waiting = shard.waiting, []
             for message, then in waiting:
                 self._put(number, shard, message, then)
@@ -341,6 +348,8 @@
             return
         shard.numbers += 1
         message.order = shard.epoch, shard.numbers
+        # Who may hold a copy of it from an earlier try is told of its end as well, else it comes back open.
+        message.asked |= shard.unheard | self._tried.pop(message.id, set())
         self.putting[message.id] = [then]
         self.put_since[message.id] = self.world.now()
 
@@ -354,6 +363,10 @@
                 self._settle(message.id, message.end, message.seal, False)
             elif put is Put.HELD and still:
                 self._take(message)
+            elif put is not Put.HELD:
+                self._tried[message.id] = set(message.asked)
+                while len(self._tried) > EARLY_MOST:
+                    del self._tried[next(iter(self._tried))]
             del self.put_since[message.id]
             for answer in self.putting.pop(message.id):
                 answer(said)
