End a message that a store knows as ended once it is copied anew

Cause: when a copy was made anew and the store answered with the message's end, the owner counted that as one more copy and would run the message again. Change: the owner takes it for ended, as it does where a put for a client is answered so. Measured: the new test fails without it.

--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -560,6 +560,8 @@
 
     def _copied(self, message: Message) -> None:
         self._mending.discard(message.id)
+        if message.end and not message.ended:  # a store knows what an earlier owner did not tell
+            self._settle(message.id, message.end, message.seal, False)
         if self.spread.enough(message.holders):
             self._count("mended")
             self.short.pop(message.id, None)
