Go on emptying a store that loses its disk meanwhile

Cause: a store that was to be emptied and came back with another disk was put on the roster as a full one, and its old disk was dropped as a lost one: reading how far it is emptied said in_progress for ever. Change: the disk it comes back with is to be emptied too.

--- a/tests/workshop/test_jig.py
+++ b/tests/workshop/test_jig.py
@@ -5,7 +5,7 @@
 import pytest
 from absl import logging
 
-from workshop.jig.days import play
+from workshop.jig.days import Day, play
 from workshop.jig.hunt import one
 from workshop.jig.mutants import MUTANTS
 
@@ -24,6 +24,15 @@
     assert play(seed) == []
 
 
+def test_a_store_that_loses_its_disk_while_it_is_emptied_is_emptied() -> None:
+    day = Day(3, "quiet")
+    store = day.deployment.stores[0]
+    day.clock.later(7.0, lambda: day.footing.empty(store))
+    day.clock.later(7.06, lambda: day.footing.lose_disk(store, 0.05))
+    assert day.play() == []
+    assert store not in day.deployment.stores
+
+
 @pytest.mark.parametrize(
     ("name", "seed"),
     [
--- a/workshop/jig/footing.py
+++ b/workshop/jig/footing.py
@@ -150,10 +150,13 @@
         """A store is to be emptied; once it is, it is taken away with its disk."""
         if len(self.deployment.stores) < 3:
             return 0.0
-        store = self._any(self.deployment.stores)
+        self.empty(self._any(self.deployment.stores))
+        return RETIRE_S
+
+    def empty(self, store: Machine) -> None:
+        """Order a store to be emptied, and look until it is."""
         self.history.trouble(f"{store.name} is to be emptied", RETIRE_S, planned=True)
         self._ask(f"/-/Retire.Begin/{store.name}", b'{"durationS": 8}', "POST", partial(self._begun, store))
-        return RETIRE_S
 
     def _ask(self, target: str, body: bytes, method: str, hear: Callable[[int, Any], None]) -> None:
         core = self._any(self.deployment.cores)
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -327,7 +327,8 @@
             if known is None and (session.extra["enrolled"] or self.book.retired.get(name) == "completed"):
                 continue  # it was retired, or its place was taken: then it comes as another disk
             place = {"name": name, "addr": session.address, "zone": session.zone, "region": session.region}
-            state = "retiring" if known is not None and known["state"] == "retiring" else "full"
+            # A store that loses its disk while it is emptied comes back as one that is still to be emptied.
+            state = "retiring" if self.book.retired.get(name) == "in_progress" else "full"
             if known is None or {**known, "at": 0} != {**place, "state": state, "at": 0}:
                 changes[disk] = {**place, "state": state}
             for other, it in roster.items():
