Take stores for lost only while the others can hold messages, and drop none before

Change: silent stores are lost only if the ones that are heard can hold messages, else the leader is cut off; a disk is dropped only where the full ones can hold messages.

--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -334,22 +334,33 @@
             for other, it in roster.items():
                 if it["name"] == name and other != disk and it["state"] != "lost":
                     changes[other] = {**it, "state": "lost"}  # its machine came back with another disk
-        settled = now - self.vise.led_since > SETTLED_S
-        for disk, it in roster.items():
-            if it["name"] in stores:
-                self._missing.pop(disk, None)
-            elif it["state"] == "full" and settled and now - self._missing.setdefault(disk, now) > LOST_S:
-                changes[disk] = {**it, "state": "lost"}
+        silent = {disk: it for disk, it in roster.items() if it["name"] not in stores}
+        for disk in set(roster) - set(silent):
+            self._missing.pop(disk, None)
+        here = {disk: it for disk, it in roster.items() if disk not in silent}
+        # Guards against a leader that is cut from other control relays: it hears of none of their stores, and
+        # more of them can't be lost than may be.
+        if now - self.vise.led_since > SETTLED_S and self._hold(here):
+            for disk, it in silent.items():
+                if it["state"] == "full" and now - self._missing.setdefault(disk, now) > LOST_S:
+                    changes[disk] = {**it, "state": "lost"}
         if changes:
             logging.info("stores: %s", {it["name"]: it["state"] for it in changes.values()})
             self._propose("roster", {"do": "roster", "set": changes})
 
+    def _hold(self, roster: Json) -> bool:
+        """Whether messages can be held by the full ones of these stores."""
+        full = {it["name"]: (it["zone"], it["region"]) for it in roster.values() if it["state"] == "full"}
+        return self.settings.tolerance.holds(list(full.values()))
+
     def _drop_disks(self, edges: dict[str, Session]) -> None:
         """A disk is asked no more once every owner has enough copies without it."""
         leaving = {disk: it for disk, it in self.book.roster.items() if it["state"] in ("lost", "retiring")}
         owners = {str(it[0]) for it in self.book.shards}
         if not leaving or not owners or not owners <= set(edges):
             return
+        if not self._hold(self.book.roster):
+            return  # nothing is short only because nothing can be held
         told = [edges[name].extra for name in owners]
         if any(it["table"] != self.book.shards_at or it["loading"] or it["short"] for it in told):
             return
@@ -451,11 +462,8 @@
             self._carry_config(word, body, then)
 
     def _carry_retire(self, name: str, then: Callable[[Result[Json, NotTaken]], None]) -> None:
-        rest = {
-            it["name"]: it for it in self.book.roster.values() if it["state"] == "full" and it["name"] != name
-        }
-        known = any(it["name"] == name for it in self.book.roster.values())
-        if known and not self.settings.tolerance.holds([(it["zone"], it["region"]) for it in rest.values()]):
+        rest = {disk: it for disk, it in self.book.roster.items() if it["name"] != name}
+        if len(rest) < len(self.book.roster) and not self._hold(rest):
             then(Ok({"status": 409, "cause": f"too few stores would be left without {name}"}))
         else:
             self.vise.propose({"do": "retire", "name": name}, then)
