Explore the core's agreement in all interleavings to a stated depth, with five more faults to look for

Change: `workshop/jig/explore.py` drives three members step by step from two starts (fresh disks; a leader with an entry of an older term beside a newer one), prunes states that it has seen, and looks for two leaders of a term, leaders that lack what is committed, and entries that differ. Faults: a lost disk dropped early, one copy short, a removed voter or a learner that counts, an entry of an older term that is counted. The old vote gives two leaders 7 steps deep, the older term takes back an entry 6 steps deep; both are kept as tests.

--- /dev/null
+++ b/tests/workshop/test_explore.py
@@ -0,0 +1,48 @@
+"""The agreement of the core, in all interleavings to a small depth, and faults that deeper looks found."""
+
+import pytest
+
+from workshop.jig.explore import STARTS, FoundError, Play, Step, explore, old_self, stranger
+from workshop.jig.mutants import mutated
+
+# As `python -m workshop.jig explore --mutant` tells them.
+TWO_LEADERS: list[Step] = [
+    ("stand", "a", 0), ("deliver", "b", 1), ("deliver", "a", 3), ("wipe", "a", 0), ("stand", "a", 0),
+    ("deliver", "b", 6), ("deliver", "a", 7),
+]  # fmt: skip
+TAKEN_BACK: list[Step] = [
+    ("deliver", "c", 8), ("unsynced", "a", 9), ("power", "a", 0), ("stand", "b", 0), ("deliver", "a", 12),
+    ("deliver", "b", 14),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("start", list(STARTS))
+def test_all_that_a_few_steps_lead_to_holds(start: str) -> None:
+    it = explore(STARTS[start], 3)
+    assert (it.found, it.whole) == ("", True)
+    assert it.states > 100
+
+
+def test_a_wiped_voter_that_votes_as_its_old_self_makes_two_leaders() -> None:
+    play = Play(STARTS["fresh"], old_self)
+    for step in TWO_LEADERS[:-1]:
+        play.take(step)
+    with pytest.raises(FoundError, match="two leaders in term 1"):
+        play.take(TWO_LEADERS[-1])
+    play = Play(STARTS["fresh"], stranger)
+    for step in TWO_LEADERS[:4]:
+        play.take(step)
+    assert ("stand", "a", 0) not in play.steps()
+
+
+def test_an_entry_of_an_older_term_that_is_counted_is_taken_back() -> None:
+    with mutated("older-term"):
+        play = Play(STARTS["older"], stranger)
+        for step in TAKEN_BACK[:-1]:
+            play.take(step)
+        with pytest.raises(FoundError, match="without the entry that was committed"):
+            play.take(TAKEN_BACK[-1])
+    play = Play(STARTS["older"], stranger)
+    for step in TAKEN_BACK[:2]:
+        play.take(step)
+    assert play.members["a"].vise.commit == 0
--- a/workshop/jig/__main__.py
+++ b/workshop/jig/__main__.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from workshop.jig.days import Day
+from workshop.jig.explore import STARTS, explore, old_self, stranger
 from workshop.jig.hunt import hunt
 from workshop.jig.mutants import MUTANTS, mutated
 
@@ -61,6 +62,24 @@
     sys.exit(bool(bad))
 
 
+@main.command("explore")
+@click.option("--depth", default=7, help="Steps from each start.")
+@MUTANT
+def explore_all(depth: int, mutant: str) -> None:
+    """Look at all interleavings of the core's agreement to some depth."""
+    logging.set_verbosity(logging.FATAL)
+    bad = 0
+    blank = old_self if mutant == "old-vote" else stranger
+    for name, start in STARTS.items():
+        with mutated(mutant):
+            it = explore(start, depth, blank)
+        bad += bool(it.found)
+        print(f"{name}, {depth} deep: {it.states} states, {it.steps} steps: {it.found or 'all holds'}")
+        for step in it.path:
+            print(f"  {step}")
+    sys.exit(bool(bad))
+
+
 if __name__ == "__main__":
     if os.environ.get("PYTHONHASHSEED") != "0":
         # Guards against days that differ from run to run: the program goes through sets of names.
--- a/workshop/jig/mutants.py
+++ b/workshop/jig/mutants.py
@@ -10,6 +10,7 @@
 from result import Ok, Result
 
 from workshop.crib.orders import Said, Say
+from workshop.crib.sessions import Session
 from workshop.hatch.routes import Routes
 from workshop.lathe import spread
 from workshop.lathe.message import Message
@@ -21,7 +22,7 @@
 from workshop.machine.store import Store
 from workshop.ports import Called, Json, Lost, Reply
 from workshop.settings import Settings
-from workshop.vise.agree import Saved
+from workshop.vise.agree import Saved, Vise
 from workshop.whistle.news import News
 
 Mutant = Callable[[], AbstractContextManager[Any]]
@@ -147,6 +148,61 @@
     return patch.object(Edge, "_spend", spend)
 
 
+def _older_term() -> AbstractContextManager[Any]:
+    """What a majority has is committed, also where it is of an older term."""
+
+    def count(self: Vise) -> None:
+        matched = {name: it.match for name, it in self._peers.items()} | {self.me: self.synced}
+        levels = sorted((matched.get(name, 0) for name in self.voters), reverse=True)
+        if levels and levels[len(levels) // 2] > self.commit:
+            self.commit = levels[len(levels) // 2]
+            self._apply_committed()
+            self._push(True)
+
+    return patch.object(Vise, "_count", count)
+
+
+def _learner_counts() -> AbstractContextManager[Any]:
+    """What a learner has counts towards the majority of those who vote."""
+
+    def majority(self: Vise, names: set[str]) -> bool:
+        return 2 * sum(1 for it in self.members if it in names) > len(self.voters)
+
+    return patch.object(Vise, "_majority", majority)
+
+
+def _removed_counts() -> AbstractContextManager[Any]:
+    """A voter that was removed still counts, until the log is cut."""
+
+    def voters(self: Vise) -> list[str]:
+        now = {name for name, it in self.members.items() if it["voter"]}
+        return sorted(now | {name for name, it in self.base_members.items() if it["voter"]})
+
+    return patch.object(Vise, "voters", property(voters))
+
+
+def _dropped_early() -> AbstractContextManager[Any]:
+    """A lost disk is dropped before the owners have said that they need it no more."""
+
+    def drop(self: Core, edges: dict[str, Session]) -> None:
+        gone = [disk for disk, it in self.book.roster.items() if it["state"] in ("lost", "retiring")]
+        if gone:
+            self._propose("drop", {"do": "roster", "drop": gone})
+
+    return patch.object(Core, "_drop_disks", drop)
+
+
+def _one_short() -> AbstractContextManager[Any]:
+    """An owner calls its copies whole while one is lacking."""
+    extra = Edge._extra
+
+    def less(self: Edge) -> Json:
+        said = extra(self)
+        return {**said, "short": max(0, said["short"] - 1)}
+
+    return patch.object(Edge, "_extra", less)
+
+
 # By name: the fault, and the aim of the days in which it is looked for.
 MUTANTS: Mapping[str, tuple[Mutant, str]] = {
     "first-sync": (_first_sync, "closing"),
@@ -159,6 +215,11 @@
     "forgotten-end": (_forgotten_end, "roll"),
     "failed-early": (_failed_early, "quiet"),
     "rate-alone": (_rate_alone, "rate"),
+    "dropped-early": (_dropped_early, "footing"),
+    "one-short": (_one_short, "footing"),
+    "removed-counts": (_removed_counts, "footing"),
+    "learner-counts": (_learner_counts, "footing"),
+    "older-term": (_older_term, "core"),
 }
 
 
