--- a/tests/workshop/test_rates.py
+++ b/tests/workshop/test_rates.py
@@ -38,7 +38,7 @@
     pool.heard(
         "i", {"service": "s", "addr": "a", "zone": "z", "slots": 9, "cond": "ready", "warm_ms": 0}, 0.0
     )
-    service = Service("s", world, pool, endpoints, lambda: 1, lambda it: 1.0, lambda message, called: None)
+    service = Service("s", world, pool, endpoints, lambda it: 1.0, lambda message, called: None)
     service.rate_is(8.0, 0.2)
     for number in range(100):
         service.add(Message(f"m{number}", 0, f"{number}", "", "GET", "/", "r", "", 0.0, 0.0, service="s"))
--- a/workshop/lathe/service.py
+++ b/workshop/lathe/service.py
@@ -18,7 +18,6 @@
 SLOTS = 1024  # calls that one edge has out at most
 SLACK_S = 0.15  # beyond the time that an endpoint is given until it counts as silent
 PAUSE_S = (0.02, 0.5)  # before a message is tried again, doubled each time
-UNEVEN = 3.0  # part of the announced slots that one edge may need, over an even part
 BUSY_S = 0.05  # before one is tried again whose first run is still under way
 _MESSAGE = message_class("deferred", Effect.UNSAFE, deadline=2.0)
 _SETTINGS = settings([_MESSAGE], slots=SLOTS)  # one relay: what others spend is reckoned outside
@@ -71,12 +70,11 @@
         world: World,
         pool: Pool,
         endpoints: Endpoints,
-        edges: Callable[[], int],
         timeout_s: Callable[[Message], float],
         finished: Callable[[Message, Called], None],
     ) -> None:
         self.name, self.world, self.pool, self.endpoints = name, world, pool, endpoints
-        self._edges, self._timeout_s, self._finished = edges, timeout_s, finished
+        self._timeout_s, self._finished = timeout_s, finished
         self.account = Account(_SETTINGS, None)
         self.line: list[tuple[int, float, int, Message]] = []  # rank, due, number
         self.calls: dict[Out, None] = {}
@@ -179,16 +177,6 @@
         self._finished(message, called)
         self.pump()
 
-    def _announced(self) -> float:
-        """Units a window that this edge's part of the announced slots does at the usual answer time.
-
-        Guards against a limit learned from the few units of a window that has just begun, as after a start
-        with much in hand: refusals of full endpoints then tell of a moment, and not of a rate.
-        """
-        slots = sum(it.slots for it in self.pool.services.get(self.name, {}).values() if it.state == "ready")
-        account = self.account
-        return UNEVEN * slots * account.window / max(1, account.usual_us) / max(1, self._edges())
-
     def _learn(self, out: Out, called: Called, now: float, now_us: int) -> None:
         endpoint, account = out.endpoint, self.account
         if called.status == 421:
@@ -197,12 +185,11 @@
         elif called.status in (429, 503):
             self.refused += 1
             endpoint.doubt_until = now + FULL_S
-            # One full endpoint tells nothing of its service: a limit is learned where none is left.
-            told = called.status == 429 or self.pool.pick(self.name, now) is None
-            if told and out.start_us > account.learned_us:
+            # A full endpoint (503) tells of its slots at that moment, which `Endpoint` keeps; a rate that is
+            # refused (429) is what the account learns from. Guards against a limit of a few units learned
+            # in the burst after a start, which held edges back for ten seconds.
+            if called.status == 429 and out.start_us > account.learned_us:
                 account.refused(now_us, 1.0)
-                if called.status != 429:
-                    account.learned = max(account.learned, self._announced())
             wait = called.header("retry-after")
             if called.status == 429 and wait is not None and wait.isdigit():
                 account.blocked_until = max(account.blocked_until, now_us + int(wait) * SECOND)
--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -221,7 +221,6 @@
                 self.world,
                 self.pool,
                 self.endpoints,
-                lambda: self.shards.edges,
                 self._timeout_s,
                 self._finished,
             )
