Wait for what the HTTP server's tests are about instead of for time

Cause: all tests had limits of 40 and 80 ms, which a busy machine exceeds between two pieces of a request, and each piece was given 2 ms to be read. Change: only the tests of a lost patience have small limits; a piece is sent once the one before it is read, and the client hangs up behind the last one.

--- a/tests/workshop/test_hatch_server.py
+++ b/tests/workshop/test_hatch_server.py
@@ -2,13 +2,17 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
 
 import pytest
 
 from workshop.hatch.server import Answer, Limits, Request, Server
 
 Reply = Callable[[Answer], None]
-SMALL = Limits(header_bytes=400, body_bytes=100, header_s=0.04, idle_s=0.08)
+SMALL = Limits(header_bytes=400, body_bytes=100, header_s=20.0, idle_s=20.0)
+IMPATIENT = Limits(header_bytes=400, body_bytes=100, header_s=0.04, idle_s=0.04)
+PATIENCE_S = 15.0  # a busy machine is slow
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -19,6 +23,20 @@
         self.server = Server(self.handle, lambda: limits)
         self.seen: list[Request] = []
         self.later: list[Reply] = []
+        self.read = 0  # bytes
+        self._add = self.server.add
+        self.server.add = self.add  # type: ignore[method-assign]
+
+    def add(self, connection: Any) -> None:
+        """Count what a connection reads."""
+        data_received = connection.data_received
+
+        def count(data: bytes) -> None:
+            self.read += len(data)
+            data_received(data)
+
+        connection.data_received = count
+        self._add(connection)
 
     def handle(self, request: Request, reply: Reply) -> None:
         self.seen.append(request)
@@ -30,18 +48,28 @@
             reply(Answer(204 if request.target == "/none" else 200, (("X-A", "b"),), request.body or b"hi"))
 
     async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        return await asyncio.open_connection("127.0.0.1", self.server.port)
+        before = self.server.opened
+        pair = await asyncio.open_connection("127.0.0.1", self.server.port)
+        await self.until(lambda: self.server.opened > before)
+        return pair
 
-    async def ask(self, *pieces: bytes) -> bytes:
-        """Send the pieces, and read until the server says that this was all."""
+    async def ask(self, *pieces: bytes, hang_up: bool = True) -> bytes:
+        """Send the pieces, each once the last one is read, and read until the server has said all."""
         reader, writer = await self.open()
+        sent = self.read
         for piece in pieces:
             writer.write(piece)
-            await asyncio.sleep(0.002)
+            sent += len(piece)
+            await self.until(partial(self._has_read, sent))
+        if hang_up and self.server._connections:
+            writer.write_eof()
         answer = await reader.read()
         writer.close()
         return answer
 
+    def _has_read(self, count: int) -> bool:
+        return self.read >= count or not self.server._connections
+
     async def until(self, true: Callable[[], bool]) -> None:
         while not true():
             await asyncio.sleep(0.001)
@@ -51,7 +79,7 @@
     async def run() -> Rig:
         rig = Rig(limits)
         await rig.server.listen("127.0.0.1", 0)
-        async with asyncio.timeout(5):
+        async with asyncio.timeout(PATIENCE_S):
             await scene(rig)
         rig.server.stop()
         rig.server.abort()
@@ -118,15 +146,17 @@
 @pytest.mark.filterwarnings("error")
 @pytest.mark.parametrize(("pieces", "statuses", "bodies"), ANSWERED)
 def test_answers(pieces: tuple[bytes, ...], statuses: list[int], bodies: list[bytes]) -> None:
+    late = not pieces or statuses == [408]  # the server is to lose its patience
+
     async def scene(rig: Rig) -> None:
-        answer = await rig.ask(*pieces)
+        answer = await rig.ask(*pieces, hang_up=not late)
         assert [int(part[:3]) for part in answer.split(b"HTTP/1.1 ")[1:]] == statuses
         closed = bool(statuses) and (statuses[-1] >= 400 or b"HTTP/1.0" in pieces[0][:20])
         assert not closed or answer.count(b"Connection: close") == 1
         assert [it.body for it in rig.seen] == bodies
         assert rig.server.open_requests == 0
 
-    play(scene)
+    play(scene, IMPATIENT if late else SMALL)
 
 
 def test_headers_and_lengths() -> None:
