--- a/workshop/jig/days.py
+++ b/workshop/jig/days.py
@@ -132,7 +132,7 @@
         }
         others = [
             self._crash,
-            self._replace,
+            self.replace_endpoint,
             self._answers_lost,
             self._change,
             self._change,
@@ -319,7 +319,7 @@
                 self.kill_one(machine)
 
         self.deployment.town.on_drained = strike
-        self._replace()
+        self.replace_endpoint()
         self.clock.later(2.0, self._no_strike)
         return 2.0
 
@@ -370,7 +370,8 @@
                 self.clock.later(1.0, partial(self._start, victim.kind.name, victim.zone))
         return 0.0
 
-    def _replace(self) -> float:
+    def replace_endpoint(self) -> float:
+        """An endpoint leaves as planned, and another one takes its place."""
         town = self.deployment.town
         victim = self.chance.choice(town.up())
         town.start(victim.kind.name, victim.zone)
