--- /dev/null
+++ b/tests/workshop/test_measured.py
@@ -0,0 +1,97 @@
+"""What measured rounds found: each fails without its mend."""
+
+import asyncio
+import random
+
+import pytest
+
+from tests.workshop.test_rates import OneEndpoint
+from workshop.hatch.server import Answer, Limits, Server
+from workshop.jig.clock import Clock
+from workshop.jig.network import Host, Life, LifeWorld, Network
+from workshop.lathe.endpoints import Pool
+from workshop.lathe.message import Message
+from workshop.lathe.service import Service
+from workshop.ports import Called, Delivery, Verdict
+from workshop.vise.sharing import share_out
+
+
+class FullAtFirst(OneEndpoint):
+    """Endpoints that are full for the first calls, and answer after that."""
+
+    full = 12
+
+    def call(self, delivery: Delivery, then: object) -> None:
+        self.calls += 1
+        attempt = ("amberlug-attempt-id", delivery.attempt)
+        turned_away = Called(Verdict.ANSWERED, 503, (attempt, ("amberlug-not-executed", "1")))
+        done = Called(Verdict.ANSWERED, 200, (attempt, ("amberlug-server-seal", "s")))
+        assert callable(then)
+        said = turned_away if self.calls <= self.full else done
+        self.clock.later(0.01 if said is turned_away else 0.1, lambda: then(said))
+
+
+def dispatch(endpoints: OneEndpoint, clock: Clock, slots: int) -> tuple[Service, list[str]]:
+    """A service with one endpoint, and what of it has been done."""
+    net = Network(clock, random.Random(1), 0.001)
+    host = Host("edge", "z", "10.0.0.1:7300")
+    world = LifeWorld(net, Life(host, 1, lambda life, error: None), net.chance, 0.0)
+    pool = Pool("z", net.chance, lambda address: 1)
+    value = {"service": "s", "addr": "a", "zone": "z", "slots": slots, "cond": "ready", "warm_ms": 0}
+    pool.heard("i", value, 0.0)
+    done: list[str] = []
+
+    def finished(message: Message, called: Called) -> None:
+        message.out = False
+        if called.status == 200:
+            message.ended = True
+            done.append(message.id)
+        else:
+            clock.later(0.02, lambda: service.add(message))
+
+    service = Service("s", world, pool, endpoints, lambda it: 1.0, finished)
+    return service, done
+
+
+def test_full_endpoints_after_a_start_teach_no_limit_of_a_few_units() -> None:
+    clock = Clock()
+    endpoints = FullAtFirst(clock)
+    service, done = dispatch(endpoints, clock, 8)
+    for number in range(200):
+        service.add(Message(f"m{number}", 0, f"{number}", "", "GET", "/", "r", "", 0.0, 0.0, service="s"))
+    clock.run(4.0)
+    assert len(done) == 200  # 8 slots do 80 a second; a limit learned from 12 refusals let 100 through
+
+
+@pytest.mark.parametrize(
+    ("owners", "live", "keep", "moved"),
+    [
+        (["a", "a", "b", "b"], ["a", "b"], [], {}),
+        (["a", "a", "b", "b"], ["b"], [], {"b": [0, 1]}),
+        (["a", "a", "b", "b"], ["b", "c"], ["a"], {"c": [3]}),  # what is kept is not counted for anyone
+        (["", "", "", ""], ["a", "b"], [], {"a": [0, 1], "b": [2, 3]}),
+    ],
+)
+def test_shards_move_only_where_they_must(
+    owners: list[str], live: list[str], keep: list[str], moved: dict[str, list[int]]
+) -> None:
+    assert {name: it for name, it in share_out(owners, live, 4, keep).items() if it} == moved
+
+
+def test_a_connection_that_is_old_ends_with_its_next_answer() -> None:
+    async def play() -> list[bytes]:
+        server = Server(lambda asked, answer: answer(Answer(200)), Limits, age_s=100.0)
+        await server.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        heads, clock = [], asyncio.get_running_loop().time
+        for late in (0.0, 200.0):
+            server.time = lambda late=late: clock() + late  # type: ignore[misc]
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+        server.stop()
+        return heads
+
+    young, old = asyncio.run(play())
+    assert b"Connection: close" not in young
+    assert b"Connection: close" in old
