Let control relays without a majority hold no sessions and refuse no orders

Ruled out: the agreement itself (the versions were in the log) and the edges' comparisons (all asked the same stale relay).

Each control relay now asks the leader for a confirmed commit index four times a second and at each change of leader; for 1.2 s after such a question it is in contact. Without contact it takes no hello, renews no session, answers announcements with 503, is named in no heartbeatUri and calls no endpoint lost. Members leave a relay that says so or whose knowledge is older than 1.5 s, also while they ask for the newest news. The leader tells owners of shards that have no session anywhere itself. An edge serves nothing before a majority has confirmed what it has. Orders (configuration, retire, read) are refused, acknowledged as repeats or answered only from a book confirmed by a majority; a new leader's confirmation waits for an entry of its own term.

--- /dev/null
+++ b/tests/workshop/test_contact.py
@@ -0,0 +1,184 @@
+"""Control relays that reach no majority: they hold no sessions, refuse nothing, and edges go elsewhere."""
+
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import Any
+
+import pytest
+from absl import logging
+from result import Ok
+
+from tests.workshop.fakes import Alone, settings
+from workshop.jig.clock import Clock
+from workshop.jig.days import Day
+from workshop.jig.deployment import Machine
+from workshop.machine.core import Core
+from workshop.ports import Reply
+from workshop.vise.agree import Saved
+
+BEFORE_S, CUT_S, APPLY_S = 6.0, 20.0, 3.0
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    before = logging.get_verbosity()
+    logging.set_verbosity(logging.FATAL)
+    yield
+    logging.set_verbosity(before)
+
+
+class Fast:
+    """A disk that keeps nothing."""
+
+    def write(self, rows: list[tuple[str, tuple[Any, ...]]], then: Callable[[str | None], None]) -> None:
+        then(None)
+
+
+class Cut:
+    """A quiet deployment, one core machine of which is cut off from the other core machines."""
+
+    def __init__(self, seed: int, which: str, way: str) -> None:
+        day = self.day = Day(seed, "quiet")
+        self.deployment, self.clock = day.deployment, day.clock
+        for machine in self.deployment.machines:
+            machine.start()
+        self.clock.later(0.6, day.operator.begin)
+        self.clock.run(BEFORE_S)
+        leader = day.leader()
+        assert leader is not None
+        voters = [it for it in self.deployment.cores if it.part.vise.voting]
+        self.cut = leader if which == "leader" else next(it for it in voters if it is not leader)
+        self.others = [it for it in self.deployment.cores if it is not self.cut]
+        pairs = {(self.cut.name, it.name) for it in self.others} if way != "to" else set()
+        pairs |= {(it.name, self.cut.name) for it in self.others} if way != "from" else set()
+        self.deployment.net.cut(pairs)
+        self.clock.later(CUT_S, partial(self.deployment.net.join, pairs))
+
+    def restart_others(self) -> None:
+        """All sessions are moved to the one that is cut off, where it takes them."""
+        for machine in self.others:
+            machine.kill()
+            self.clock.later(0.5, machine.start)
+
+    def wait(self, what: Callable[[], bool], most: float) -> bool:
+        until = self.clock.now + most
+        while not what() and self.clock.now < until:
+            self.clock.run(self.clock.now + 0.05)
+        return what()
+
+    def ask(self, core: Machine, method: str, path: str, body: bytes = b"", base: str = "") -> int:
+        """What a control relay answers within a second, or what else came of it."""
+        found: list[int] = []
+        headers = (("amberlug-base-version", base),) if base else ()
+        self.deployment.control(
+            core, method, path, body, 1.0, lambda status, said: found.append(status), headers
+        )
+        self.clock.run(self.clock.now + 1.1)
+        return found[0]
+
+    def editions(self) -> set[int]:
+        return {it.part.routes.edition for it in self.deployment.edges}
+
+    def relays(self) -> set[str]:
+        return {it.part.member.relay for it in self.deployment.edges + self.deployment.stores}
+
+
+@pytest.mark.parametrize("way", ["both", "to", "from"])
+@pytest.mark.parametrize("which", ["leader", "follower"])
+def test_no_session_stays_with_a_relay_that_is_cut_off(which: str, way: str) -> None:
+    play = Cut(3, which, way)
+    play.clock.run(BEFORE_S + 0.5)
+    play.restart_others()
+    assert play.wait(lambda: play.day.leader() not in (None, play.cut), 4.0)
+    assert play.wait(lambda: not play.relays() & {play.cut.address, ""}, 3.0)
+    before = play.day.operator.edition
+    play.day.operator.change()
+    assert play.wait(lambda: play.day.operator.edition > before, 6.0)
+    assert play.wait(lambda: play.editions() == {play.day.operator.edition}, APPLY_S)
+
+
+def test_a_relay_that_is_cut_off_refuses_no_order_and_takes_none() -> None:
+    play = Cut(3, "leader", "both")
+    play.clock.run(BEFORE_S + 0.1)  # it still takes itself for the leader
+    calls: list[tuple[str, str, bytes, str]] = [
+        ("POST", "/-/Configuration.Replace", b'{"edition": 900}', "899"),
+        ("GET", "/-/Configuration.Read", b"", ""),
+        ("POST", "/-/Retire.Begin/nobody", b'{"durationS": 1}', ""),
+        ("POST", "/-/Retire.Begin/store-0", b'{"durationS": 1}', ""),
+        ("GET", "/-/Retire.Read/store-0", b"", ""),
+    ]
+    assert {play.ask(play.cut, *it) for it in calls} <= {503, -2}
+    play.clock.run(BEFORE_S + 5.0)
+    announce = b'{"targetService": "alpha", "address": "10.0.0.9:80", "sequence": 1}'
+    assert {play.ask(play.cut, *it) for it in calls} == {503}
+    assert play.ask(play.cut, "POST", "/-/Instances.Announce/i-1", announce) == 503
+    said: list[Any] = []
+    other = play.others[0]
+    body = announce.replace(b"{", b'{"zone": "%s",' % play.cut.zone.encode(), 1)
+    play.deployment.control(
+        other, "POST", "/-/Instances.Announce/i-1", body, 1.0, lambda status, it: said.append((status, it))
+    )
+    play.clock.run(play.clock.now + 1.1)
+    assert said[0][0] == 200
+    assert said[0][1].get("heartbeatUri") != play.cut.control
+
+
+def test_endpoints_of_its_zone_are_heard_elsewhere_and_lost_by_nobody() -> None:
+    play = Cut(5, "follower", "both")
+    town = play.deployment.town
+    for _ in range(3):
+        town.start("alpha", play.cut.zone)
+    lost: set[str] = set()
+    while play.clock.now < BEFORE_S + CUT_S + 4.0:
+        play.clock.run(play.clock.now + 0.5)
+        for core in play.deployment.cores:
+            items = core.part.cell.news.items
+            lost |= {key for key, (version, _) in items.items() if key.startswith("ep/") and version[2]}
+    assert lost == set()
+
+
+def test_an_edge_serves_no_configuration_that_no_majority_has_confirmed() -> None:
+    play = Cut(3, "leader", "both")
+    play.clock.run(BEFORE_S + 3.0)
+    edge = play.deployment.edges[0]
+    edge.kill()
+    edge.start()
+    part = edge.part
+    statuses: list[int] = []
+
+    class Asked:
+        method, target, body, headers = "POST", "/plain/1", b"", ()
+
+        def header(self, name: str) -> str | None:
+            return {"host": "x", "amberlug-attempt-id": "a"}.get(name)
+
+    old = play.deployment.edges[1].part.news.everything()
+    part.news.take(old)  # what it hears from another edge first
+    assert part.routes.index > 0
+    part.handle(Asked(), lambda status, *rest: statuses.append(status))
+    assert statuses == [503]
+    assert not part.ready
+
+
+def test_a_new_leader_refuses_nothing_from_a_book_that_lags() -> None:
+    of = settings("core")
+    world = Alone(Clock())
+    names = [f"10.0.0.{number}:7300" for number in (1, 2, 3)]
+    members = {name: {"addr": name, "voter": True, "zone": "", "control": ""} for name in names}
+    config = {"do": "config", "base": 0, "edition": 5, "sum": "x", "config": {"edition": 5}}
+    core = Core(world, of, names[0], Fast(), Saved(names[0], 1, members=members, entries=[(1, config)]))
+    core.vise._hold(2)
+    core.vise._lead()  # what the leader before it committed is in its log, but not in its book yet
+    said: list[Any] = []
+    core._carry("replace", {"base": 5, "data": {"edition": 6}}, said.append)
+    core._carry("retire", {"name": "store-0"}, said.append)
+    core._carry("read", {}, said.append)
+    assert said == []
+    for commit in (0, 2):
+        for to, word, body, then in world.asked[:]:
+            if word == "vise.append" and to == names[1] and body["commit"] == commit:
+                then(Ok(Reply({"ok": True, "term": 2})))
+    statuses = [it.ok_value.get("status") for it in said if isinstance(it, Ok)]
+    assert core.book.edition == 5
+    assert 412 not in statuses
+    assert len(said) == 2  # the order to retire is proposed by now, and not committed
--- a/workshop/crib/cell.py
+++ b/workshop/crib/cell.py
@@ -97,6 +97,12 @@
         for name in names:
             self.seen[name] = now
 
+    def heard_all(self) -> None:
+        """All that are known get their time anew: this machine has heard nobody for a while."""
+        now = self.world.now()
+        for name in self.seen:
+            self.seen[name] = now
+
     def report(self) -> list[str]:
         beaten, self.beaten = sorted(self.beaten), set()
         return beaten
--- a/workshop/crib/sessions.py
+++ b/workshop/crib/sessions.py
@@ -38,6 +38,7 @@
     def __init__(self) -> None:
         self.own: dict[str, Session] = {}
         self._told: dict[str, tuple[float, dict[str, Session]]] = {}
+        self._contact: set[str] = set()  # control relays that said that they reach a majority
 
     def hello(self, body: Json, now: float) -> Session:
         """A member begins or renews its session."""
@@ -81,8 +82,9 @@
             for it in self.own.values()
         ]
 
-    def told(self, by: str, rows: list[list[object]], now: float) -> None:
-        """What another control relay said."""
+    def told(self, by: str, rows: list[list[object]], now: float, contact: bool = True) -> None:
+        """What another control relay said, and whether it reaches a majority."""
+        (self._contact.add if contact else self._contact.discard)(by)
         sessions = {}
         for row in rows:
             *fields, since, last, extra = row
@@ -93,9 +95,9 @@
             sessions[names["name"]] = Session(**names, since=now - since, last=now - last, extra=extra)
         self._told[by] = now, sessions
 
-    def heard_from(self, by: str, now: float) -> float:
-        """Seconds since another control relay last told its sessions."""
-        return now - self._told[by][0] if by in self._told else 1e9
+    def in_contact(self, by: str, now: float) -> bool:
+        """Whether another control relay is heard here, and reaches a majority."""
+        return by in self._contact and now - self._told[by][0] < 2 * BEAT_S + 0.2
 
     def members(self, now: float) -> dict[str, Session]:
         """The live members by name, each as its newest incarnation."""
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -29,6 +29,7 @@
 GATHER_S = 0.4  # without a new member until those who came are given shards
 ORDER_S = 0.9  # for an order to be carried out: callers wait a second
 JOIN_S = 0.3  # between a core machine's tries to be a member
+CONTACT_S = 1.2  # since a majority was last asked with success: longer than an election takes
 STORE = "storage"
 
 
@@ -69,6 +70,8 @@
         self._missing: dict[str, float] = {}  # when an owner was first seen without a session
         self._first_seen: dict[str, float] = {}
         self._waits: list[tuple[int, Callable[[], None]]] = []  # for an index to be applied
+        self._confirmed = -1e9  # when the newest question was asked that a majority has answered
+        self._had_contact = False
 
     def begin(self) -> None:
         self.vise.begin()
@@ -110,6 +113,7 @@
         if self.vise.leader != self._led:
             self._led = self.vise.leader
             logging.info("term %d is led by %s", self.vise.term, self._led or "nobody")
+            self.world.later(0.0, self._confirm_contact)
         waits, self._waits = self._waits, []
         for index, act in waits:
             if index <= self.vise.applied:
@@ -131,23 +135,77 @@
         return [it["addr"] for name, it in self.vise.members.items() if name != self.vise.me]
 
     def _others(self) -> list[str]:
-        return self._cores() + [it.address for it in self.sessions.own.values()]
+        return self._cores() + [it.address for it in self.sessions.own.values()] + self._without_session()
+
+    def _without_session(self) -> list[str]:
+        """Owners of shards that no control relay has a session with: the leader tells them itself."""
+        if self.vise.role is not Role.LEADER:
+            return []
+        members = self.sessions.members(self.world.now())
+        return [it["addr"] for it in self.book.owners.values() if it["name"] not in members]
+
+    # -- contact with a majority
+
+    def contact_age(self) -> float:
+        """For how many seconds at most what is applied here may be older than what a majority has."""
+        return self.world.now() - self._confirmed
+
+    @property
+    def in_contact(self) -> bool:
+        """Whether a majority's commit index was read, and applied here, of late.
+
+        Who has no contact takes no sessions and beats, answers no announcement and names itself to nobody:
+        what it knows may be old, and what it is told reaches nobody.
+        """
+        return self.contact_age() <= CONTACT_S
+
+    def _confirm_contact(self) -> None:
+        """Read the commit index of a majority: the question's time is what the answer is good for."""
+        asked = self.world.now()
+
+        def heard(index: int | None) -> None:
+            if index is not None:
+                self._when_applied(index, lambda: self._contact_is(asked))
+
+        self.confirm(heard)
+
+    def _contact_is(self, asked: float) -> None:
+        self._confirmed = max(self._confirmed, asked)
+        self._look_at_contact()
+
+    def _look_at_contact(self) -> None:
+        if self.in_contact != self._had_contact:
+            self._had_contact = self.in_contact
+            if self.in_contact:
+                self.cell.heard_all()  # who was not heard here meanwhile was heard by others
+            logging.info("contact with a majority %s", "stands" if self.in_contact else "is lost")
+
+    def _when_applied(self, index: int, act: Callable[[], None]) -> None:
+        if index <= self.vise.applied:
+            act()
+        else:
+            self._waits.append((index, act))
 
     # -- sessions
 
     @on("hello")
     def on_hello(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        if not self.in_contact:
+            self._count("sessions refused")
+            respond({"ok": False, "cause": "no contact with a majority"}, b"")
+            return
         session = self.sessions.hello(body, self.world.now())
         logging.info("session of %s begins", session.id)
-        respond({"ok": True}, b"")
+        respond({"ok": True, "age": round(self.contact_age(), 3)}, b"")
         self._tell_sessions()
 
     @on("beat")
     def on_beat(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
         known = self.sessions.own.get(body["name"])
         was = known.state if known is not None else ""
-        ok = self.sessions.beat(body, self.world.now())
-        respond({"ok": ok}, b"")
+        # Without contact the session is not renewed: its member looks for another control relay.
+        ok = self.in_contact and self.sessions.beat(body, self.world.now())
+        respond({"ok": ok, "age": round(min(self.contact_age(), 1e6), 3)}, b"")
         if ok and was != body["state"]:
             self._tell_sessions()
 
@@ -160,13 +218,7 @@
                 respond({"ok": False}, b"")
                 return
 
-            def act() -> None:
-                respond({"ok": True, "items": self.news.everything()}, b"")
-
-            if index <= self.vise.applied:
-                act()
-            else:
-                self._waits.append((index, act))
+            self._when_applied(index, lambda: respond({"ok": True, "items": self.news.everything()}, b""))
 
         self.confirm(give)
 
@@ -205,16 +257,23 @@
         for session in self.sessions.sweep(self.world.now()):
             logging.info("session of %s ended: it is silent", session.id)
         self._tell_sessions()
-        self.cell.sweep(lambda name: logging.info("endpoint %s is silent", name))
+        self._confirm_contact()
+        self._look_at_contact()
+        if self.in_contact:  # else it is this machine that hears nobody
+            self.cell.sweep(lambda name: logging.info("endpoint %s is silent", name))
 
     def _tell_sessions(self) -> None:
-        body = {"rows": self.sessions.report(self.world.now()), "seen": self.cell.report()}
+        body = {
+            "rows": self.sessions.report(self.world.now()),
+            "seen": self.cell.report(),
+            "contact": self.in_contact,
+        }
         for to in self._cores():
             self.world.tell(to, "sessions", body)
 
     @on("sessions")
     def on_sessions(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
-        self.sessions.told(origin, body["rows"], self.world.now())
+        self.sessions.told(origin, body["rows"], self.world.now(), bool(body.get("contact", True)))
         self.cell.heard_elsewhere(body["seen"])
 
     # -- membership of the core
@@ -450,18 +509,33 @@
         elif word == "drain":
             self.vise.propose({"do": "drain", "ids": body["ids"]}, then)
         elif word == "read":
-
-            def give(index: int | None) -> None:
-                if index is None:
-                    then(Err(NotTaken.UNCLEAR))
-                else:
-                    then(Ok({"config": self.book.config, "retired": self.book.retired}))
-
-            self.vise.confirm(give)
+            self._confirmed_book(
+                lambda: then(Ok({"config": self.book.config, "retired": self.book.retired})), then
+            )
         else:
             self._carry_config(word, body, then)
 
+    def _confirmed_book(
+        self, act: Callable[[], None], then: Callable[[Result[Json, NotTaken]], None]
+    ) -> None:
+        """Act once the book is known to be as new as a majority's: nothing else may be said of it.
+
+        A new leader's book may lack what the one before committed, and one that was deposed knows nothing of
+        what came since. A refusal ends an order for good, so it needs as much as an acknowledgement.
+        """
+
+        def confirmed(index: int | None) -> None:
+            if index is None:
+                then(Err(NotTaken.ELSEWHERE))
+            else:
+                self._when_applied(index, act)
+
+        self.vise.confirm(confirmed)
+
     def _carry_retire(self, name: str, then: Callable[[Result[Json, NotTaken]], None]) -> None:
+        self._confirmed_book(lambda: self._retire_confirmed(name, then), then)
+
+    def _retire_confirmed(self, name: str, then: Callable[[Result[Json, NotTaken]], None]) -> None:
         rest = {disk: it for disk, it in self.book.roster.items() if it["name"] != name}
         if len(rest) < len(self.book.roster) and not self._hold(rest):
             then(Ok({"status": 409, "cause": f"too few stores would be left without {name}"}))
@@ -469,6 +543,11 @@
             self.vise.propose({"do": "retire", "name": name}, then)
 
     def _carry_config(self, word: str, body: Json, then: Callable[[Result[Json, NotTaken]], None]) -> None:
+        self._confirmed_book(lambda: self._config_confirmed(word, body, then), then)
+
+    def _config_confirmed(
+        self, word: str, body: Json, then: Callable[[Result[Json, NotTaken]], None]
+    ) -> None:
         base, text = body["base"], body["data"]
         sum_ = digest({"word": word, "base": base, "data": text})
         edition = text.get("edition")
@@ -581,6 +660,9 @@
     def announce(self, asked: Asked, name: str, say: Say) -> None:
         """An endpoint says that it is there, or that it leaves."""
         self._count("announced")
+        if not self.in_contact:
+            say(Said(503, {"cause": "no contact with a majority"}, 1))  # it calls another one then
+            return
         data = self._small(asked, say)
         if data is None:
             return
@@ -621,8 +703,8 @@
         now = self.world.now()
         for name, it in sorted(self.vise.members.items()):
             if it["zone"] == zone and it["control"]:
-                here = name == self.vise.me
-                if here or self.sessions.heard_from(it["addr"], now) < 2 * BEAT_S + 0.2:
+                here = name == self.vise.me and self.in_contact
+                if here or self.sessions.in_contact(it["addr"], now):
                     return str(it["control"])
         return ""
 
--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -270,8 +270,9 @@
         if asked.target.startswith("/-/"):
             self.counter.take(asked, lambda said: self._say(said, finish))
             return
-        if self.routes.index == 0:
-            self._refuse(finish, 503, "no configuration yet")
+        if self.routes.index == 0 or not self.member.confirmed:
+            # What is here may be older than what was acknowledged, or no configuration at all.
+            self._refuse(finish, 503, "no configuration that a majority has confirmed")
             return
         host = (asked.header("host") or "").partition(":")[0]
         route = self.routes.match(host, asked.target.partition("?")[0])
--- a/workshop/machine/member.py
+++ b/workshop/machine/member.py
@@ -14,7 +14,8 @@
 ANSWER_S = 0.4  # for a control relay to answer a beat
 HELLO_S = 0.8
 NEWEST_S = 1.0
-PAUSE_S = 0.1  # before the next control relay is tried
+PAUSE_S = (0.1, 0.5)  # before the next control relay is tried, growing
+STALE_S = 1.5  # what a control relay knows may be so much older than what a majority has
 
 
 def internal(settings: Settings) -> list[str]:
@@ -22,6 +23,14 @@
     return [f"{host}:{settings.ports.start}" for host, _ in settings.seeds]
 
 
+def _in_contact(reply: Result[Reply, Lost]) -> bool:
+    """Whether a control relay takes this member's word, and knows what a majority knows."""
+    if isinstance(reply, Err):
+        return False
+    said = reply.ok_value.body
+    return bool(said.get("ok")) and float(said.get("age", 0.0)) <= STALE_S
+
+
 class Member:
     """Keeps a session with one control relay, and finds another when that one is silent."""
 
@@ -42,6 +51,7 @@
         self.confirmed = False  # whether the news were once as new as a majority's
         self.changes = 0  # sessions begun
         self._tried = 0
+        self._failed = 0  # tries since a session stood
         self._known: list[str] = internal(settings)
         self._epoch = 0
 
@@ -87,10 +97,10 @@
         def hear(reply: Result[Reply, Lost]) -> None:
             if epoch != self._epoch:
                 return
-            if isinstance(reply, Err) or not reply.ok_value.body.get("ok"):
-                self.world.later(PAUSE_S, lambda: self._hello() if epoch == self._epoch else None)
+            if not _in_contact(reply):
+                self._again()
                 return
-            self.relay, self.changes = to, self.changes + 1
+            self.relay, self.changes, self._failed = to, self.changes + 1, 0
             self.news.compare_with(to)
             self.world.later(BEAT_S, lambda: self._beat(epoch))
             if not self.confirmed:
@@ -98,6 +108,13 @@
 
         self.world.ask(to, "hello", self._body(), HELLO_S, hear)
 
+    def _again(self) -> None:
+        """Look for another control relay, after a while that grows: all of them may be without a majority."""
+        epoch = self._epoch
+        pause = min(PAUSE_S[1], PAUSE_S[0] * 1.3**self._failed) * self.world.chance.uniform(0.8, 1.2)
+        self._failed = min(self._failed + 1, 20)
+        self.world.later(pause, lambda: self._hello() if epoch == self._epoch else None)
+
     def _newest(self, epoch: int) -> None:
         """Have what is known confirmed by a majority once, before clients are served."""
 
@@ -108,7 +125,10 @@
                 self.news.take(reply.ok_value.body["items"])
                 self.confirmed = True
             else:
-                self.world.later(PAUSE_S, lambda: self._newest(epoch))
+                # This relay reaches no majority, or is slow: another one may do better.
+                self.relay = ""
+                self._epoch += 1
+                self._again()
 
         if epoch == self._epoch and not self.confirmed:
             self.world.ask(self.relay, "newest", {}, NEWEST_S, hear)
@@ -121,7 +141,7 @@
         def hear(reply: Result[Reply, Lost]) -> None:
             if epoch != self._epoch:
                 return
-            if isinstance(reply, Err) or not reply.ok_value.body.get("ok"):
+            if not _in_contact(reply):
                 self.relay = ""
                 self._hello()
                 return
--- a/workshop/vise/agree.py
+++ b/workshop/vise/agree.py
@@ -350,8 +350,12 @@
         self.propose({"members": members}, answered)
 
     def confirm(self, confirmed: Callable[[int | None], None]) -> None:
-        """Have the commit index confirmed by a majority: what is applied up to there is the newest."""
-        if self.role is not Role.LEADER or self.term_at(self.commit) != self.term:
+        """Have the commit index confirmed by a majority: what is applied up to there is the newest.
+
+        A new leader's commit index may lag behind the one before it: the answer waits until an entry of its
+        own term is committed.
+        """
+        if self.role is not Role.LEADER:
             confirmed(None)
             return
         self._round += 1
@@ -360,6 +364,8 @@
         self._settle_confirms()
 
     def _settle_confirms(self) -> None:
+        if self.term_at(self.commit) != self.term:
+            return
         reached = {name: it.acked for name, it in self._peers.items()} | {self.me: self._round}
         while self._confirms:
             number, confirmed = self._confirms[0]
@@ -444,6 +450,7 @@
             self.commit = index
             self._apply_committed()
             self._push(True)
+            self._settle_confirms()
             if self.me not in self.members:
                 self._step_down()
 
