Refuse at once what too few stores can hold, and answer each client by its deadline

Messages were written at the one store that answered, stayed unclear and were answered 504 at their deadline or, where a second put was begun behind the first, not at all for 2.4 s (found by the new test).

An owner that for 100 ms has not had enough stores that answer refuses with 503 and Retry-After before it writes anything, also what other edges offer to it. An offer ends at its client's deadline: 504 where some store may have it.

--- a/tests/workshop/test_edge.py
+++ b/tests/workshop/test_edge.py
@@ -1,9 +1,13 @@
 """An edge alone."""
 
 from collections.abc import Callable
+from functools import partial
 
 from tests.workshop.fakes import Alone, settings
+from workshop.jig.clients import HOST
 from workshop.jig.clock import Clock
+from workshop.jig.days import Day
+from workshop.jig.deployment import Request
 from workshop.lathe.message import Message
 from workshop.machine.edge import Edge
 from workshop.ports import Called, Delivery
@@ -30,3 +34,39 @@
     edge._copied(message)
     assert edge.rack.messages == {}
     assert edge.ends["0-x"][:2] == ("done", "seal")
+
+
+def test_what_too_few_stores_can_hold_is_refused_at_once_and_taken_once_they_can() -> None:
+    day = Day(2, "quiet")
+    for machine in day.deployment.machines:
+        machine.start()
+    day.clock.later(0.6, day.operator.begin)
+    day.clock.run(5.0)
+    stores = day.deployment.stores
+    said: list[tuple[float, int]] = []
+
+    def post(number: int) -> None:
+        edge, sent = day.deployment.edges[0], day.clock.now
+        headers = (("host", HOST), ("amberlug-attempt-id", f"m{number}"), ("amberlug-time-remaining", "1500"))
+        day.deployment.front(
+            edge,
+            Request("POST", f"/plain/{number}", headers, b"x"),
+            2.0,
+            lambda status, *rest: said.append((day.clock.now - sent, status)),
+        )
+
+    for store in stores[1:]:
+        store.power_off()
+    for number in range(40):
+        day.clock.later(0.02 * number, partial(post, number))
+    day.clock.run(day.clock.now + 3.0)
+    late = sum(seconds > 0.05 for seconds, _ in said)
+    assert {status for _, status in said} == {503, 504}
+    assert late <= 12, "only what came before the silence was seen is held"
+    for store in stores[1:]:
+        store.start()
+    day.clock.run(day.clock.now + 4.0)
+    said.clear()
+    post(99)
+    day.clock.run(day.clock.now + 1.0)
+    assert [status for _, status in said] == [202]
--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -35,6 +35,7 @@
 SWEEP_S = 1.0
 RETENTION_SLACK_S = 0.5  # clients' sends are known only by their arrival
 HELD_SHARE = 0.35  # part of the memory that bodies in hand may take
+DARK_S = 0.1  # too few stores answer for so long: what comes is refused at once, and not written in part
 RATE_WAIT_S = 1.0  # until a larger part of a service's rate is used: others have heard of it by then
 KEPT_BACK = frozenset(
     (
@@ -64,15 +65,23 @@
         self.until = now + seconds
         self.patience = now + min(seconds, NO_OWNER_S)
         self.unclear = False
+        self.offered = False  # an owner has been given it and has not answered yet
         self.over = False
+        self.timer = edge.world.later(seconds, self._late)
+
+    def _late(self) -> None:
+        self._end(Taken.UNCLEAR if self.unclear or self.offered else Taken.REFUSED)
 
     def go(self) -> None:
+        if self.over:
+            return
         edge, message = self.edge, self.message
         left = self.until - edge.world.now()
         if left <= 0 or (not self.unclear and edge.world.now() > self.patience):
             self._end(Taken.UNCLEAR if self.unclear else Taken.REFUSED)
             return
         if message.shard in edge.shards.mine:
+            self.offered = True
             edge.shards.accept(message, self._said)
             return
         owner = edge.shards.owner_of(message.shard)
@@ -82,6 +91,7 @@
         body = {"id": message.id, "shard": message.shard, "meta": message.meta()}
         data = message.body
         assert data is not None, "a message that is offered has its body"
+        self.offered = True
         edge.world.ask(owner[1], "offer", body, min(left, OFFER_S), self._heard, data)
 
     def _later(self) -> None:
@@ -89,12 +99,16 @@
 
     def _heard(self, reply: Result[Reply, Lost]) -> None:
         if isinstance(reply, Err):
+            self.offered = False
             self.unclear |= reply.err_value is not Lost.UNSENT
             self._later()
+        elif reply.ok_value.body.get("dark") and not self.unclear:
+            self._end(Taken.REFUSED)  # its owner wrote nothing, and can't for now
         else:
             self._said(Taken(reply.ok_value.body["taken"]))
 
     def _said(self, taken: Taken) -> None:
+        self.offered = False
         if taken is Taken.HELD:
             self._end(taken)
             return
@@ -105,6 +119,7 @@
     def _end(self, taken: Taken) -> None:
         if not self.over:
             self.over = True
+            self.timer.cancel()
             self.say(taken)
 
 
@@ -138,6 +153,7 @@
         self.short: dict[str, Message] = {}  # messages that too few disks hold
         self._mending: set[str] = set()
         self._roster, self._roster_since = 0, 0.0
+        self._dark_since: float | None = None  # since when too few stores answer
 
     def begin(self) -> None:
         self.member.begin()
@@ -318,6 +334,9 @@
         if shard is None:
             self._refuse(finish, 503, "no shard has an owner")
             return
+        if shard in self.shards.mine and self._dark():
+            self._refuse(finish, 503, "too few stores answer")
+            return
         wall = self.world.wall()
         message = Message(
             name_of(shard, attempt), shard, attempt, asked.header("host") or "", asked.method, asked.target,
@@ -339,6 +358,15 @@
 
         _Offer(self, message, seconds, say).go()
 
+    def _dark(self) -> bool:
+        """Whether no message can be held for now: one written in part could only be given up on late."""
+        now = self.world.now()
+        if self.spread.reachable():
+            self._dark_since = None
+        elif self._dark_since is None:
+            self._dark_since = now
+        return self._dark_since is not None and now - self._dark_since > DARK_S
+
     def _shard_for(self, key: str) -> int | None:
         if key:
             return shard_of(key, SHARDS)
@@ -357,6 +385,9 @@
         self._count("offered")
         if message.seen > self.routes.index:
             self.news.compare_with(origin)
+        if body["shard"] in self.shards.mine and self._dark():
+            respond({"taken": Taken.REFUSED.value, "dark": True}, b"")
+            return
         self.shards.accept(message, lambda taken: respond({"taken": taken.value}, b""))
 
     # -- messages in hand
