Bound what a leader sends by bytes, in parts that are paced by their acknowledgements

Seen: after 90 changes of 198 kB with a core machine away, the leader packed 64 entries into one frame that no peer takes; the error ended its beat, it was deposed, and so was the next one. The machine never caught up.

A batch is bounded by 64 KiB besides 64 entries. A lost connection, a repeat or another leader goes on from where the receiver stands. What is lost is known by its answer or by a time that suits its size; a silent peer is asked, not sent anything large. Beats go along with whatever is under way, are set before the work, and an error for one peer is logged once and touches no other.

--- /dev/null
+++ b/tests/workshop/group.py
@@ -0,0 +1,148 @@
+"""Members of the core's log over the jig's network, with a state as large as the changes make it."""
+
+import random
+from functools import partial
+
+from result import Ok, Result
+
+from workshop.jig.clock import Clock
+from workshop.jig.disk import DiskOf, Shelf
+from workshop.jig.network import Host, Life, LifeWorld, Network
+from workshop.ports import Json, words_of
+from workshop.vise.agree import NotTaken, Role, Saved, Vise
+
+SLOW = 15e6 / 8  # bytes a second
+
+
+class Member(Host):
+    """One core machine that holds the newest command and how many there were."""
+
+    def __init__(self, group: "Group", name: str, founder: bool = True) -> None:
+        super().__init__(name, "z", name)
+        self.group, self.founder, self.lives = group, founder, 0
+        self.shelf = Shelf(group.clock, random.Random(name), 0.002)
+
+    def start(self) -> None:
+        group = self.group
+        self.powered = True
+        self.lives += 1
+        life = self.life = Life(self, self.lives, group.failed)
+        world = LifeWorld(group.net, life, random.Random(f"{self.name} {self.lives}"), 0.0)
+        members = group.founders if self.founder else {}
+        me = self.name if self.founder else f"{self.name}/{self.lives}"
+        life.machine = Replica(
+            world, DiskOf(life, self.shelf), self.shelf.begun(lambda: Saved(me, members=members))
+        )
+        self.vise: Vise = life.machine.vise
+        self.replica: Replica = life.machine
+        life.do(self.vise.begin)
+
+    def stop(self) -> None:
+        """Its power is gone."""
+        assert self.life is not None
+        self.powered = False
+        self.life.over = True
+        self.shelf.lose()
+        for link in self.life.links.values():
+            link.silence(0)
+        for link in self.life.incoming:
+            link.silence(1)
+
+    def wipe(self) -> None:
+        self.shelf.wipe()
+        self.founder = False
+
+    @property
+    def up(self) -> bool:
+        return self.life is not None and not self.life.over
+
+
+class Replica:
+    """What one life of a member holds."""
+
+    def __init__(self, world: LifeWorld, disk: DiskOf, saved: Saved) -> None:
+        self.state: Json = {"count": 0, "config": None}
+        self.vise = Vise(
+            world, disk, saved, self._apply, lambda: dict(self.state), self._restore, lambda: None
+        )  # fmt: skip
+        self.words = words_of(self.vise)
+
+    def _apply(self, index: int, command: Json) -> Json:
+        self.state = {"count": self.state["count"] + 1, "config": command["config"]}
+        return {"ok": True}
+
+    def _restore(self, state: Json) -> None:
+        self.state = state
+
+    def broken(self, address: str) -> None:
+        pass
+
+
+class Group:
+    """Three members, and who changes what they hold."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.clock = Clock()
+        self.net = Network(self.clock, random.Random(seed), 0.0005)
+        self.founders: Json = {name: {"addr": name, "voter": True} for name in "abc"}
+        self.members = {name: Member(self, name) for name in "abc"}
+        self.faults: list[str] = []
+        self.taken: list[int] = []  # numbers of the changes that were acknowledged
+        self.seconds: list[float] = []  # how long each took
+        for member in self.members.values():
+            self.net.hosts[member.address] = member
+            member.start()
+        self.run(2.0)
+
+    def failed(self, life: Life, error: AssertionError) -> None:
+        self.faults.append(f"{life.name}: {error}")
+
+    def run(self, seconds: float) -> None:
+        self.clock.run(self.clock.now + seconds)
+
+    @property
+    def leader(self) -> Member | None:
+        led = [it for it in self.members.values() if it.up and it.vise.role is Role.LEADER]
+        return max(led, key=lambda it: it.vise.term) if led else None
+
+    def change(self, number: int, size: int, since: float | None = None) -> None:
+        """Have a change taken, however often it must be proposed."""
+        since = self.clock.now if since is None else since
+        again = partial(self.clock.later, 0.05, partial(self.change, number, size, since))
+        if number in self.taken:
+            return
+        leader = self.leader
+        if leader is None or leader.life is None:
+            again()
+            return
+
+        def hear(said: Result[Json, NotTaken]) -> None:
+            if not isinstance(said, Ok):
+                again()
+            elif number not in self.taken:
+                self.taken.append(number)
+                self.seconds.append(self.clock.now - since)
+
+        command = {"config": f"{number} " + "x" * size}
+        leader.life.do(lambda: leader.vise.propose(command, hear))
+
+    def let_in(self, member: Member) -> None:
+        """Put a member that came back empty in the place of the one that it was."""
+        leader = self.leader
+        assert leader is not None
+        members, name = leader.vise.members, member.vise.me
+        old = [it for it, known in members.items() if known["addr"] == member.address and it != name]
+        if old:
+            rest = {it: known for it, known in members.items() if it not in old}
+            leader.vise.change_members(rest, lambda said: self.let_in(member))
+        elif name not in members or (not members[name]["voter"] and leader.vise.caught_up(name)):
+            known = {"addr": member.address, "voter": name in members}
+            leader.vise.change_members({**members, name: known}, lambda said: None)
+        if not members.get(name, {}).get("voter"):
+            self.clock.later(0.1, partial(self.let_in, member))
+
+    @property
+    def behind(self) -> list[str]:
+        """Who lacks something that was agreed."""
+        last = max(it.vise.commit for it in self.members.values() if it.up)
+        return [name for name, it in self.members.items() if not it.up or it.vise.applied < last]
--- a/workshop/jig/disk.py
+++ b/workshop/jig/disk.py
@@ -11,7 +11,8 @@
 from workshop.chest.drawer import Contents, Kept
 from workshop.jig.clock import Clock
 from workshop.jig.network import Life
-from workshop.vise.agree import Saved
+from workshop.ports import Json
+from workshop.vise.agree import Saved, assemble
 
 Row = tuple[str, tuple[Any, ...]]
 READ_S = 0.0005
@@ -91,25 +92,31 @@
 
 
 class Shelf(Platter):
-    """A core machine's part of the log."""
+    """A core machine's part of the log: a snapshot, and rows by index as the file has them."""
 
     def __init__(self, clock: Clock, chance: random.Random, sync_s: float) -> None:
         super().__init__(clock, chance, sync_s)
         self._saved: Saved | None = None
-        self._gap = False  # an entry was written behind one that was refused
+        self._rows: dict[int, tuple[int, Json | None]] = {}
 
     def begun(self, blank: Callable[[], Saved]) -> Saved:
-        """What a process that starts reads."""
-        if self._saved is None or self._gap:
-            self._saved, self._gap = blank(), False
-        it = self._saved
-        text = json.dumps([it.state, it.members, it.entries])
-        state, members, entries = json.loads(text)
-        pairs = [(row[0], row[1]) for row in entries]
-        return Saved(it.me, it.term, it.vote, it.start, it.start_term, state, members, pairs)
+        """What a process that starts reads; a gap spoils it."""
+        found = None
+        if self._saved is not None:
+            it = self._saved
+            state, members, log = json.loads(json.dumps([it.state, it.members, sorted(self._rows.items())]))
+            found = Saved(it.me, it.term, it.vote, it.start, it.start_term, state, members)
+            found = assemble(found, [(at, term, command) for at, (term, command) in log])
+        if found is None:
+            self.wipe()
+            found = blank()
+            start, term = found.start, found.start_term
+            self._saved = Saved(found.me, found.term, found.vote, start, term, found.state, found.members)
+        return found
 
     def wipe(self) -> None:
-        self._saved, self._gap = None, False
+        self._saved = None
+        self._rows.clear()
 
     def copied(self, kind: str, values: tuple[Any, ...]) -> tuple[Any, ...]:
         return tuple(json.loads(json.dumps(values)))
@@ -120,20 +127,13 @@
         if kind == "term":
             saved.term, saved.vote = values
         elif kind == "cut":
-            del saved.entries[max(0, values[0] - saved.start - 1) :]
-            self._gap &= values[0] > saved.start + len(saved.entries) + 1
+            self._rows = {at: row for at, row in self._rows.items() if at < values[0]}
         elif kind == "entry":
             at, term, command = values
-            place = at - saved.start - 1
-            if not 0 <= place <= len(saved.entries):
-                self._gap = True
-            elif not self._gap:
-                saved.entries[place : place + 1] = [(term, command)]
+            self._rows[at] = (term, command)
         else:
-            start, start_term, state, members, *keep = values
-            rest = saved.entries[max(0, start - saved.start) :] if not keep or keep[0] else []
-            saved.start, saved.start_term, saved.state = start, start_term, state
-            saved.members, saved.entries = members, rest
+            saved.start, saved.start_term, saved.state, saved.members, upto = values
+            self._rows = {at: row for at, row in self._rows.items() if at >= upto}
 
 
 class Chest(Platter):
--- a/workshop/jig/network.py
+++ b/workshop/jig/network.py
@@ -11,6 +11,7 @@
 
 from result import Err, Ok
 
+from workshop.belt.netstring import MOST
 from workshop.jig.clock import Clock, Timer
 from workshop.ports import Json, Lost, Reply, Then
 
@@ -28,6 +29,8 @@
         self.powered = True
         self.life: Life | None = None
         self.loss = 0.0  # part of its packets that are lost
+        self.rate = 0.0  # bytes a second that it sends and that it takes; 0: as many as there are
+        self.busy = [0.0, 0.0]  # until when it sends what is queued, and takes it
 
 
 class Life:
@@ -73,6 +76,7 @@
         self.clock, self.chance, self.between_zones = clock, chance, between_zones
         self.hosts: dict[str, Host] = {}  # by address
         self.numbers = itertools.count(1)
+        self.too_long = 0  # frames that were refused where they were packed
         self._cuts: set[tuple[str, str]] = set()
         self._held: dict[Link, None] = {}
 
@@ -84,6 +88,14 @@
             seconds += LOST_S
         return seconds + self.chance.expovariate(20000)
 
+    def departure(self, a: Host, b: Host, size: int) -> float:
+        """When so many bytes have left the one machine and come in at the other, but for the delay."""
+        at = self.clock.now
+        for side, host in enumerate((a, b)):
+            if host.rate:
+                at = host.busy[side] = max(at, host.busy[side]) + size / host.rate
+        return at
+
     def is_cut(self, a: Host, b: Host) -> bool:
         return (a.name, b.name) in self._cuts
 
@@ -123,7 +135,8 @@
         self.net, self.to = net, to
         self.ends: list[Life | None] = [source, None]
         self.open = [True, False]
-        self._waiting: list[tuple[int | None, Callable[[], None]]] | None = []  # None once it is up
+        # What is said before it is up, with its size; None once it is up.
+        self._waiting: list[tuple[int | None, int, Callable[[], None]]] | None = []
         self._asked: dict[int, tuple[Then, Timer]] = {}
         self._last = [0.0, 0.0]
         self._held: list[list[Callable[[], None]]] = [[], []]
@@ -158,30 +171,43 @@
     def _up(self) -> None:
         waiting, self._waiting = self._waiting or [], None
         if self.open[0]:
-            for _, act in waiting:
-                self._transmit(0, act)
+            for _, size, act in waiting:
+                self._transmit(0, size, act)
 
     # -- words and replies
 
     def send(self, word: str, body: Json, blob: bytes) -> None:
         """Send; nobody hears whether it came."""
-        self._send(None, partial(self._arrive, None, word, json.dumps(body), blob))
+        text = json.dumps(body)
+        if not self._too_long(text, blob):
+            self._send(None, len(text) + len(blob), partial(self._arrive, None, word, text, blob))
 
     def ask(self, word: str, body: Json, blob: bytes, within: float, then: Then) -> None:
         """Send, and have `then` hear once what came of it."""
         number = next(self.net.numbers)
         source = self.ends[0]
         assert source is not None, "a connection has an opener"
+        text = json.dumps(body)
+        if self._too_long(text, blob):
+            self.net.clock.later(0.0, partial(source.do, partial(then, Err(Lost.UNSENT))))
+            return
         timer = Timer(partial(self._late, number))
         self._asked[number] = then, timer
         self.net.clock.later(within, partial(source.do, timer.fire))
-        self._send(number, partial(self._arrive, number, word, json.dumps(body), blob))
+        self._send(number, len(text) + len(blob), partial(self._arrive, number, word, text, blob))
 
-    def _send(self, number: int | None, act: Callable[[], None]) -> None:
+    def _too_long(self, text: str, blob: bytes) -> bool:
+        """Whether a frame is refused where it is packed."""
+        if max(len(text), len(blob)) <= MOST:
+            return False
+        self.net.too_long += 1
+        return True
+
+    def _send(self, number: int | None, size: int, act: Callable[[], None]) -> None:
         if self._waiting is not None:
-            self._waiting.append((number, act))
+            self._waiting.append((number, size, act))
         else:
-            self._transmit(0, act)
+            self._transmit(0, size, act)
 
     def _late(self, number: int) -> None:
         found = self._asked.pop(number, None)
@@ -199,7 +225,9 @@
 
         def respond(body: Json, blob: bytes = b"") -> None:
             if number is not None and self.open[1]:
-                self._transmit(1, partial(self._replied, number, json.dumps(body), blob))
+                text = json.dumps(body)
+                if not self._too_long(text, blob):
+                    self._transmit(1, len(text) + len(blob), partial(self._replied, number, text, blob))
 
         def hear() -> None:
             handler = life.machine.words.get(word)
@@ -222,9 +250,9 @@
 
     # -- on the wire
 
-    def _transmit(self, side: int, act: Callable[[], None]) -> None:
-        net = self.net
-        arrival = max(self._last[side], net.clock.now + net.delay(self._host(side), self._host(1 - side)))
+    def _transmit(self, side: int, size: int, act: Callable[[], None]) -> None:
+        net, here, there = self.net, self._host(side), self._host(1 - side)
+        arrival = max(self._last[side], net.departure(here, there, size) + net.delay(here, there))
         self._last[side] = arrival
         net.clock.later(arrival - net.clock.now, partial(self._land, side, act))
 
@@ -282,7 +310,7 @@
             assert other is not None, "a connection has an opener"
             me.do(lambda: me.machine.broken(other.host.address))
         if tell and other is not None:
-            self._transmit(side, partial(self.close, 1 - side, Lost.BROKEN, False))
+            self._transmit(side, 0, partial(self.close, 1 - side, Lost.BROKEN, False))
 
     def silence(self, side: int) -> None:
         """One end is without power: nothing more comes from it."""
--- a/workshop/vise/agree.py
+++ b/workshop/vise/agree.py
@@ -7,21 +7,31 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
+import json
+from collections.abc import Callable, Iterable
+from dataclasses import asdict, dataclass, field
 from enum import Enum
 from functools import partial
+from itertools import islice
 
+from absl import logging
 from result import Err, Ok, Result
 
 from workshop.ports import Disk, Handle, Json, Lost, Reply, Respond, World, on
+from workshop.vise.parts import ANSWER_S, PART, Pace, Part, Receiving, Sending, Whole, patience, whole_of
 
 BEAT_S = 0.1  # between a leader's messages to a member
 FIRST_S = (0.05, 0.3)  # the same right after a start, when nobody was heard yet
 ELECTION_S = (0.5, 0.9)  # without a leader's word until a member stands for election
-ANSWER_S = 0.4  # for a member to answer
-BATCH = 64  # entries in one message
-COMPACT = 512  # entries in the log until a snapshot takes their place
+BATCH = 64  # entries in one message, which are of PART bytes at most in all
+COMPACT = 512  # entries since the last snapshot until another one is made
+COMPACT_BYTES = (
+    4 << 20
+)  # the same in bytes, or as many as the snapshot has: what is written stays within twice
+TAIL = 128  # entries before the snapshot that are kept for members that lack only a few
+TAIL_BYTES = 1 << 20  # of these
+AGAIN_MOST_S = 1.6  # between tries to write what the disk refuses, at most
+WAITING = 8  # answers that wait for the disk: older ones are waited for no more
 CAUGHT_UP = 8  # entries a learner may lack to count as caught up
 
 Entry = tuple[int, Json | None]  # term and command; None: a new leader's first entry
@@ -42,6 +52,11 @@
     UNCLEAR = "unclear"  # leadership ended while it was under way: it may or may not be taken
 
 
+def text_of(value: Json | None) -> str:
+    """A command or a snapshot as it goes to disk and to others."""
+    return json.dumps(value, separators=(",", ":"))
+
+
 @dataclass(slots=True)
 class Saved:
     """What a member has on disk."""
@@ -53,7 +68,30 @@
     start_term: int = 0
     state: Json | None = None
     members: Json = field(default_factory=dict)
-    entries: list[Entry] = field(default_factory=list)
+    entries: list[Entry] = field(default_factory=list)  # behind what the snapshot covers
+    tail: list[Entry] = field(default_factory=list)  # the last ones that it covers, as far as they are kept
+
+
+def assemble(saved: Saved, rows: Iterable[tuple[int, int, Json | None]]) -> Saved | None:
+    """Put the rows of a log, in their order, behind and before a snapshot; None where some are missing.
+
+    What the snapshot covers may have gaps: it came whole from a leader, or was written when entries before it
+    were refused.
+    """
+    before = 0
+    for at, term, command in rows:
+        if at <= saved.start:
+            if at != before + 1:
+                saved.tail.clear()
+            saved.tail.append((term, command))
+            before = at
+        elif at == saved.start + len(saved.entries) + 1:
+            saved.entries.append((term, command))
+        else:
+            return None
+    if before != saved.start or (saved.tail and saved.tail[-1][0] != saved.start_term):
+        saved.tail.clear()
+    return saved
 
 
 @dataclass(slots=True)
@@ -62,10 +100,24 @@
 
     next: int
     match: int = 0
-    out: int = 0  # number of the message that is under way
-    out_at: float = 0.0
+    out: dict[str, tuple[int, float]] = field(default_factory=dict)  # under way: its number, until when
     heard: float = -1e9
     acked: int = 0  # highest round that it answered
+    silent: bool = False  # whether its last message came to nothing: it is asked, and sent nothing large
+    said_at: float = -1e9  # when it was last sent something
+    sending: Sending | None = None  # what goes to it in parts
+    pace: Pace = field(default_factory=Pace)
+
+    def waits(self, slot: str, now: float) -> bool:
+        return slot in self.out and now < self.out[slot][1]
+
+
+@dataclass(slots=True, eq=False)
+class _Write:
+    """Entries on their way to the disk."""
+
+    first: int
+    last: int
 
 
 Answered = Callable[[Result[Json, NotTaken]], None]
@@ -87,14 +139,27 @@
         self.world, self.disk, self.me = world, disk, saved.me
         self._apply, self._snapshot, self._restore, self._on_change = apply, snapshot, restore, on_change
         self.term, self.vote = saved.term, saved.vote
+        # The snapshot, and the log, which begins after `start`: some entries before the snapshot's end.
+        self.snap, self.snap_term, self.state = saved.start, saved.start_term, saved.state
         self.start, self.start_term, self.entries = saved.start, saved.start_term, list(saved.entries)
+        if saved.tail:
+            self.start, self.start_term = saved.start - len(saved.tail) + 1, saved.tail[0][0]
+            self.entries = saved.tail[1:] + self.entries
+        self.sizes = [len(text_of(command)) for _, command in self.entries]
+        self._snap_size = len(text_of(self.state))
+        self._since = 0  # bytes applied since the snapshot
         self.base_members: Json = saved.members
         self.members: Json = saved.members
         self.members_at = self.start
-        self.state = saved.state
         self.role, self.leader = Role.FOLLOWER, ""
-        self.commit = self.applied = self.start
-        self.synced = self.last  # entries up to here are on disk
+        self.commit = self.applied = self.snap
+        self.synced = self.last  # entries up to here are on disk, by themselves or in a snapshot
+        self._snap_synced = self.snap
+        self._writing: list[_Write] = []
+        self._unsynced: list[tuple[int, int, Callable[[], None]]] = []  # index, term, who waits for the disk
+        self._receiving: Receiving | None = None
+        self.failures = 0  # messages that could not be made
+        self.bad_sums = 0  # what came in parts and was not what was sent
         self.heard = world.now()
         self.led_since = 0.0
         self.elections = 0
@@ -105,6 +170,7 @@
         self._confirms: list[tuple[int, Callable[[int | None], None]]] = []
         self._timer: Handle | None = None
         self._stopped = False
+        self._again_s = BEAT_S  # until what the disk refuses is written again
         self._refused = False  # whether the disk has refused entries that are not written again yet
         if self.state is not None:
             restore(self.state)
@@ -277,6 +343,7 @@
     def _append(self, entries: list[Entry]) -> None:
         first = self.last + 1
         self.entries += entries
+        self.sizes += [len(text_of(command)) for _, command in entries]
         for term, command in entries:
             del term
             if command is not None and "members" in command:
@@ -284,38 +351,74 @@
                 self._meet()
         self._save_entries(first, entries, 0)
 
-    def _save_entries(
-        self, first: int, entries: list[Entry], cut: int, then: Callable[[], None] | None = None
-    ) -> None:
+    def _save_entries(self, first: int, entries: list[Entry], cut: int) -> None:
         rows: list[tuple[str, tuple[object, ...]]] = [("cut", (cut,))] if cut else []
         rows += [("entry", (first + at, term, command)) for at, (term, command) in enumerate(entries)]
-        last, term = first + len(entries) - 1, self.term
+        self._save(rows, _Write(first, first + len(entries) - 1))
+
+    def _save(self, rows: list[tuple[str, tuple[object, ...]]], write: _Write, snap: int = 0) -> None:
+        """Write entries, and a snapshot if its index is named; what has lasted is counted then."""
 
         def done(error: str | None) -> None:
             if self._stopped:
                 return
+            if write in self._writing:
+                self._writing.remove(write)
             if error is not None:
                 if not self._refused:
                     self._refused = True
-                    self.world.later(BEAT_S, self._save_rest)
+                    self.world.later(self._again_s, self._save_rest)
+                    self._again_s = min(AGAIN_MOST_S, 2 * self._again_s)
                 return
-            if self.term == term and first <= self.synced + 1 and last <= self.last:
-                self.synced = max(self.synced, last)
-            if then is not None:
-                then()
+            self._again_s = BEAT_S
+            self._snap_synced = max(self._snap_synced, snap)
+            self.synced = max(self.synced, snap)
+            if write.first <= self.synced + 1:
+                self.synced = max(self.synced, write.last)
+            self._tell_synced()
             if self.role is Role.LEADER:
                 self._count()
 
         if not self._refused:  # else it is written with the rest
+            self._writing.append(write)
             self.disk.write(rows, done)
 
-    def _save_rest(self, then: Callable[[], None] | None = None) -> None:
+    def _save_rest(self) -> None:
         """Write all that is not known to be on disk: a log with a gap would be worth nothing at a start."""
         self._refused = False
-        rest = self.entries[max(0, self.synced - self.start) :]
-        if rest:
-            first = self.last - len(rest) + 1
-            self._save_entries(first, rest, first, then)
+        rows: list[tuple[str, tuple[object, ...]]] = []
+        if self._snap_synced < self.snap:
+            rows.append(self._snap_row())
+        first = max(self.synced, self.start) + 1
+        rest = self.entries[first - self.start - 1 :]
+        rows.append(("cut", (first,)))
+        rows += [("entry", (first + at, term, command)) for at, (term, command) in enumerate(rest)]
+        self._save(rows, _Write(first, self.last), self.snap)
+
+    def _snap_row(self) -> tuple[str, tuple[object, ...]]:
+        return "snap", (self.snap, self.snap_term, self.state, self.base_members, self.start)
+
+    def _cut(self, index: int) -> None:
+        """Take back the entries from there on: they were never committed."""
+        assert index > self.commit, "a committed entry would be taken back"
+        del self.entries[index - self.start - 1 :]
+        del self.sizes[index - self.start - 1 :]
+        self.synced = min(self.synced, index - 1)
+        for write in self._writing:
+            write.last = min(write.last, index - 1)
+
+    def _when_synced(self, index: int, act: Callable[[], None]) -> None:
+        """Do something once the entries up to there are on disk, if this is still the same term then."""
+        self._unsynced = [*self._unsynced, (index, self.term, act)][-WAITING:]
+        self._tell_synced()
+
+    def _tell_synced(self) -> None:
+        waiting, self._unsynced = self._unsynced, []
+        for index, term, act in waiting:
+            if term == self.term and index <= self.synced:
+                act()
+            elif term == self.term:
+                self._unsynced.append((index, term, act))
 
     def _meet(self) -> None:
         """Keep a record of each other member while leading."""
@@ -371,13 +474,13 @@
     def _beat(self) -> None:
         if self.role is not Role.LEADER or self._stopped:
             return
+        self._after(BEAT_S, self._beat)  # first of all: nothing that goes wrong below may end the beats
         now = self.world.now()
         heard = {name for name, it in self._peers.items() if now - it.heard < ELECTION_S[1]} | {self.me}
         if not self._majority(heard):
             self._step_down()
             return
         self._push(True)
-        self._after(BEAT_S, self._beat)
 
     def _push(self, empty: bool = False) -> None:
         for name, peer in list(self._peers.items()):
@@ -385,33 +488,71 @@
                 self._send(name, peer)
 
     def _send(self, name: str, peer: _Peer) -> None:
+        """Send a peer what it is to hear next; what goes wrong there is the matter of this peer alone."""
+        try:
+            self._send_next(name, peer)
+        except AssertionError:
+            raise
+        except Exception:
+            self.failures += 1
+            if self.failures == 1:
+                logging.exception("nothing could be sent to %s", name)
+
+    def _send_next(self, name: str, peer: _Peer) -> None:
         now = self.world.now()
-        if peer.out and now - peer.out_at < ANSWER_S:
+        # Whatever is under way, a beat goes along: a peer that hears nothing else would stand for election.
+        beat = now - peer.said_at >= 0.9 * BEAT_S and not peer.waits("beat", now)
+        if self._goes_in_parts(peer):
+            if not peer.silent:
+                self._send_parts(name, peer)
+            if beat and peer.said_at < now:
+                self._send_part(name, peer, None)
+            return
+        waits = peer.waits("entries", now)
+        if waits and not beat:
             return
+        before = peer.next - 1
+        entries = [] if waits or peer.silent else self._batch(before)
+        size = sum(self.sizes[before - self.start : before - self.start + len(entries)])
+        body = {"prev": before, "prev_term": self.term_at(before), "entries": entries}
+        upto = before + len(entries)
+
+        def hear(said: Json) -> bool:
+            if said.get("ok"):
+                self._matched(peer, upto)
+            else:
+                self._step_back(peer, said)
+            return True
+
+        self._ask(
+            name, peer, ("vise.append", body, b""), patience(size), hear, "beat" if waits else "entries"
+        )
+
+    def _ask(
+        self,
+        name: str,
+        peer: _Peer,
+        what: tuple[str, Json, bytes],
+        within: float,
+        heard: Callable[[Json], bool],
+        slot: str,
+        lost: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Send as the leader; `heard` says whether more may go at once."""
+        word, body, blob = what
+        now = self.world.now()
         self._numbers += 1
-        peer.out, peer.out_at = self._numbers, now
         number, term, asked_round = self._numbers, self.term, self._round
-        body: Json = {"term": term, "me": self.me, "to": name, "commit": self.commit}
-        if peer.next <= self.start:
-            word, upto = "vise.snap", self.start
-            body |= {
-                "last": self.start,
-                "last_term": self.start_term,
-                "state": self.state,
-                "members": self.base_members,
-            }
-        else:
-            word, before = "vise.append", peer.next - 1
-            entries = self.entries[before - self.start : before - self.start + BATCH]
-            upto = before + len(entries)
-            body |= {"prev": before, "prev_term": self.term_at(before), "entries": entries}
+        peer.said_at, peer.out[slot] = now, (number, now + within)
 
         def hear(reply: Result[Reply, Lost]) -> None:
             if self._peers.get(name) is not peer or self.term != term or self.role is not Role.LEADER:
                 return
-            if peer.out == number:
-                peer.out = 0
+            if peer.out.get(slot, (0, 0.0))[0] == number:
+                del peer.out[slot]
             if isinstance(reply, Err):
+                peer.silent = True
+                lost()
                 return
             said = reply.ok_value.body
             if said.get("term", 0) > self.term:
@@ -419,19 +560,96 @@
                 return
             if said.get("stranger"):
                 return
-            peer.heard = self.world.now()
+            peer.heard, peer.silent = self.world.now(), False
             peer.acked = max(peer.acked, asked_round)
-            if said.get("ok"):
-                peer.match = max(peer.match, upto)
-                peer.next = max(peer.next, upto + 1)
-                self._count()
-            else:
-                peer.next = max(1, min(peer.next - 1, said.get("last", 0) + 1))
+            more = heard(said)
             self._settle_confirms()
-            if self.role is Role.LEADER and (peer.next <= self.last or peer.acked < self._round):
+            if (
+                more
+                and self.role is Role.LEADER
+                and self._peers.get(name) is peer
+                and (peer.next <= self.last or peer.acked < self._round)
+            ):
                 self._send(name, peer)
 
-        self.world.ask(self.members[name]["addr"], word, body, ANSWER_S, hear)
+        body = {"term": term, "me": self.me, "to": name, "commit": self.commit, **body}
+        self.world.ask(self.members[name]["addr"], word, body, within, hear, blob)
+
+    def _matched(self, peer: _Peer, upto: int) -> None:
+        peer.match = max(peer.match, upto)
+        peer.next = max(peer.next, upto + 1)
+        self._count()
+
+    def _step_back(self, peer: _Peer, said: Json) -> None:
+        peer.sending = None
+        peer.next = max(1, min(peer.next - 1, said.get("last", 0) + 1))
+
+    def _batch(self, before: int) -> list[Entry]:
+        """What one message takes of the entries behind one: so many, of so many bytes."""
+        entries: list[Entry] = []
+        room, at = PART, before - self.start
+        for entry, size in islice(zip(self.entries, self.sizes, strict=True), at, at + BATCH):
+            if size > room:
+                break
+            entries.append(entry)
+            room -= size
+        return entries
+
+    def _goes_in_parts(self, peer: _Peer) -> bool:
+        """Whether the next thing a peer lacks goes in parts; one that was begun goes on to its end.
+
+        So a slow peer gets a snapshot whole, also where newer ones are made faster than it takes one.
+        """
+        it = peer.sending
+        if it is not None and it.whole.last >= peer.next:
+            return True
+        peer.sending = None
+        if peer.next <= self.start:
+            text = f'{{"state":{text_of(self.state)},"members":{text_of(self.base_members)}}}'
+            peer.sending = self._sending(peer, "snapshot", self.snap, self.snap_term, text)
+        elif peer.next <= self.last and self.sizes[peer.next - self.start - 1] > PART:
+            term, command = self.entries[peer.next - self.start - 1]
+            peer.sending = self._sending(peer, "entry", peer.next, term, command)
+        return peer.sending is not None
+
+    def _sending(self, peer: _Peer, kind: str, last: int, term: int, value: Json | str | None) -> Sending:
+        before = self.term_at(last - 1)
+        for other in self._peers.values():  # what another one is sent need not be written down again
+            it = other.sending
+            if it is not None and (it.whole.kind, it.whole.last, it.whole.last_term) == (kind, last, term):
+                return Sending(it.whole, it.data, peer.pace, before)
+        data = (value if isinstance(value, str) else text_of(value)).encode()
+        return Sending(whole_of(kind, last, term, data), data, peer.pace, before)
+
+    def _send_parts(self, name: str, peer: _Peer) -> None:
+        while peer.sending is not None and (part := peer.sending.part(self.world.now())) is not None:
+            self._send_part(name, peer, part)
+
+    def _send_part(self, name: str, peer: _Peer, part: Part | None) -> None:
+        """Send a part; without one, ask how far the peer is, which is a beat as well."""
+        it = peer.sending
+        assert it is not None, "parts are parts of something"
+        body: Json = {**asdict(it.whole), "before_term": it.before_term, "offset": part.offset if part else 0}
+
+        def hear(said: Json) -> bool:
+            if peer.sending is not it:
+                return False
+            if said.get("ok"):
+                peer.sending = None
+                self._matched(peer, it.whole.last)
+            elif "had" not in said:
+                self._step_back(peer, said)
+            elif part is not None:
+                return it.took(part.number, said["had"], self.world.now())
+            else:
+                it.stands_at(said["had"])
+            return True
+
+        if part is None:
+            self._ask(name, peer, ("vise.part", body, b""), patience(it.sent - it.had), hear, "beat")
+        else:
+            what, lost = ("vise.part", body, part.data), partial(it.lost, part.number)
+            self._ask(name, peer, what, part.within, hear, "part", lost)
 
     def _count(self) -> None:
         """Commit what a majority has on disk, if it is of this term: older ones follow along."""
@@ -450,28 +668,44 @@
     def _apply_committed(self) -> None:
         while self.applied < self.commit:
             self.applied += 1
-            term, command = self.entries[self.applied - self.start - 1]
-            said: Json = {}
+            place = self.applied - self.start - 1
+            (term, command), said = self.entries[place], {}
+            self._since += self.sizes[place]
             if command is not None and "members" not in command:
                 said = self._apply(self.applied, command)
             while self._asked and self._asked[0][0] <= self.applied:
                 index, answered = self._asked.pop(0)
                 answered(Ok(said) if index == self.applied and term == self.term else Err(NotTaken.UNCLEAR))
-        if self.applied - self.start >= COMPACT:
+        if self.applied - self.snap >= COMPACT or self._since >= max(COMPACT_BYTES, self._snap_size):
             self._compact()
         self._on_change()
 
     def _compact(self) -> None:
+        """Make a snapshot, and cut the log to a tail before it for members that lack only a little."""
+        members = self._members_until(self.applied)
+        self.snap, self.snap_term, self.state = self.applied, self.term_at(self.applied), self._snapshot()
+        self.base_members, self._snap_size, self._since = members, len(text_of(self.state)), 0
+        keep, room = 0, TAIL_BYTES
+        while keep < min(TAIL, self.snap - self.start - 1):
+            room -= self.sizes[self.snap - self.start - keep - 1]
+            if room < 0:
+                break
+            keep += 1
+        base = self.snap - keep
+        self.start_term = self.term_at(base)
+        del self.entries[: base - self.start]
+        del self.sizes[: base - self.start]
+        self.start = base
+        # What is not on disk yet counts as being there once the snapshot is: a disk may refuse it.
+        self._save([self._snap_row()], _Write(self.snap + 1, self.snap), self.snap)
+
+    def _members_until(self, index: int) -> Json:
+        """The membership that holds at an entry of the log."""
         members = self.base_members
-        for term, command in self.entries[: self.applied - self.start]:
-            del term
+        for _, command in self.entries[: index - self.start]:
             if command is not None and "members" in command:
                 members = command["members"]
-        self.start_term = self.term_at(self.applied)
-        self.entries = self.entries[self.applied - self.start :]
-        self.start, self.state, self.base_members = self.applied, self._snapshot(), members
-        self.synced = max(self.synced, self.start)  # a majority has it, and the snapshot comes after
-        self.disk.write([("snap", (self.start, self.start_term, self.state, members))], lambda error: None)
+        return members
 
     # -- what a follower hears
 
@@ -496,67 +730,102 @@
             respond({"ok": False, "term": self.term, "stranger": body.get("to") != self.me}, b"")
             return
         before, entries = body["prev"], [(it[0], it[1]) for it in body["entries"]]
-        if before < self.start:  # what the snapshot covers is committed and the same everywhere
+        if self._fits(before, body["prev_term"], respond):
+            self._take(before, entries, body["commit"], respond)
+
+    def _fits(self, before: int, term: int, respond: Respond) -> bool:
+        """Whether entries behind that one can be taken; the leader is told where not."""
+        if before < self.start or (before <= self.last and self.term_at(before) == term):
+            return True
+        respond({"ok": False, "term": self.term, "last": min(self.last, before - 1)}, b"")
+        return False
+
+    def _take(self, before: int, entries: list[Entry], commit: int, respond: Respond) -> None:
+        """Take what is new of the entries behind one that is here, and answer once all are on disk."""
+        upto = before + len(entries)
+        if before < self.start:  # what the log no longer holds is committed and the same everywhere
             entries = entries[self.start - before :]
             before = self.start
-        elif before > self.last or self.term_at(before) != body["prev_term"]:
-            respond({"ok": False, "term": self.term, "last": min(self.last, before - 1)}, b"")
-            return
         at = 0
         while (
             at < len(entries) and before + at < self.last and self.term_at(before + at + 1) == entries[at][0]
         ):
             at += 1
         fresh, cut = entries[at:], 0
-        upto = before + len(entries)
         if fresh:
             if before + at < self.last:
                 cut = before + at + 1
-                assert cut > self.commit, "a committed entry would be taken back"
-                del self.entries[before + at - self.start :]
-                self.synced = min(self.synced, before + at)
+                self._cut(cut)
             self.entries += fresh
+            self.sizes += [len(text_of(command)) for _, command in fresh]
             self._find_members()
+            self._save_entries(before + at + 1, fresh, cut)
+        term = self.term
+        self._when_synced(upto, lambda: respond({"ok": True, "term": term}, b""))
+        self._commit_to(min(commit, upto))
 
-        term = body["term"]
-
-        def answer() -> None:
-            if self.term == term and self.synced >= upto:
-                respond({"ok": True, "term": term}, b"")
-
-        if fresh:
-            self._save_entries(before + at + 1, fresh, cut, answer)
-        elif self.synced >= upto:
-            answer()
-        else:
-            self._save_rest(answer)
-        commit = min(body["commit"], upto)
-        if commit > self.commit:
-            self.commit = commit
+    def _commit_to(self, index: int) -> None:
+        if index > self.commit:
+            self.commit = index
             self._apply_committed()
 
-    @on("vise.snap")
-    def on_snap(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+    @on("vise.part")
+    def on_part(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Take a part of an entry or a snapshot, and all of it with the last; no part: tell how far it is."""
         if not self._follow(body):
             respond({"ok": False, "term": self.term, "stranger": body.get("to") != self.me}, b"")
             return
-        last = body["last"]
-        if last <= self.commit:
-            respond({"ok": True, "term": self.term}, b"")
+        whole = Whole(body["kind"], body["last"], body["last_term"], body["total"], body["sum"])
+        entry, before = whole.kind == "entry", whole.last - 1
+        if entry:
+            if not self._fits(before, body["before_term"], respond):
+                return
+            self._commit_to(min(body["commit"], before))
+        here = self.term_at(whole.last) == whole.last_term if entry else False
+        if here or whole.last <= self.commit:
+            if blob or self.synced >= whole.last:
+                term = self.term
+                self._when_synced(whole.last, lambda: respond({"ok": True, "term": term}, b""))
+            else:
+                respond({"ok": False, "term": self.term, "had": whole.total}, b"")
+            return
+        it = self._receiving
+        if it is None or it.whole != whole:
+            it = self._receiving = Receiving(whole)
+        if blob:
+            it.take(body["offset"], blob)
+        data = it.verified() if it.full else None
+        if data is None:
+            self.bad_sums += 1 if blob and not it.data else 0
+            respond({"ok": False, "term": self.term, "had": len(it.data)}, b"")
             return
-        self.entries = [] if self.term_at(last) != body["last_term"] else self.entries[last - self.start :]
-        self.start, self.start_term, self.state = last, body["last_term"], body["state"]
-        self.base_members = body["members"]
+        self._receiving = None
+        if entry:
+            self._take(before, [(whole.last_term, json.loads(data))], body["commit"], respond)
+        else:
+            self._install(whole, json.loads(data), respond)
+
+    def _install(self, whole: Whole, snapshot: Json, respond: Respond) -> None:
+        """Put a leader's snapshot in the place of all that it covers, its membership with it."""
+        last = whole.last
+        keep = self.term_at(last) == whole.last_term
+        self.entries = self.entries[last - self.start :] if keep else []
+        self.sizes = self.sizes[last - self.start :] if keep else []
+        rows: list[tuple[str, tuple[object, ...]]] = [] if keep else [("cut", (1,))]
+        if not keep:
+            self.synced = min(self.synced, self.commit)
+            for write in self._writing:
+                write.last = min(write.last, self.commit)
+        self.start, self.start_term = last, whole.last_term
+        self.snap, self.snap_term, self.state = last, whole.last_term, snapshot["state"]
+        self.base_members, self._snap_size, self._since = snapshot["members"], whole.total, 0
         self.commit = self.applied = last
-        self.synced = max(self.synced, last) if self.entries else last
         if self.state is not None:
             self._restore(self.state)
         self._find_members()
-        keep = bool(self.entries)
-        self.disk.write(
-            [("snap", (self.start, self.start_term, self.state, self.base_members, keep))],
-            lambda error: respond({"ok": True, "term": self.term}, b"") if error is None else None,
-        )
+        self._save([*rows, self._snap_row()], _Write(last + 1, last), last)
+        term = self.term
+        self._when_synced(last, lambda: respond({"ok": True, "term": term}, b""))
         self._on_change()
 
     @on("vise.now")
--- a/workshop/vise/shelf.py
+++ b/workshop/vise/shelf.py
@@ -11,7 +11,7 @@
 
 from workshop.chest.cabinet import Cabinet, Row, open_file
 from workshop.ports import Json
-from workshop.vise.agree import Saved
+from workshop.vise.agree import Saved, assemble
 
 FORMAT = 1
 SCHEMA = """
@@ -40,12 +40,9 @@
         elif kind == "cut":
             base.execute("delete from log where at >= ?", values)
         elif kind == "snap":
-            start, start_term, state, members, *keep = values
+            start, start_term, state, members, upto = values
             _put(base, "snap", {"start": start, "term": start_term, "state": state, "members": members})
-            base.execute(
-                "delete from log where at <= ?" if not keep or keep[0] else "delete from log where ?",
-                (start,),
-            )
+            base.execute("delete from log where at < ?", (upto,))
 
 
 def _sum(at: int, term: int, text: str) -> int:
@@ -64,11 +61,12 @@
     term, vote = state.get("term", (0, ""))
     snap = state["snap"]
     saved = Saved(state["me"], term, vote, snap["start"], snap["term"], snap["state"], snap["members"])
+    rows = []
     for at, term_of, text, total in base.execute("select at, term, command, sum from log order by at"):
-        if at != saved.start + len(saved.entries) + 1 or _sum(at, term_of, text) != total:
+        if _sum(at, term_of, text) != total:
             return None
-        saved.entries.append((term_of, json.loads(text)))
-    return saved
+        rows.append((at, term_of, json.loads(text)))
+    return assemble(saved, rows)
 
 
 def open_shelf(
