Page news by bytes, and make a frame that is too long an outcome instead of an error

Cause: news went 400 items to a message, whatever their size, and all versions in one answer; packing a frame over 8 MiB raised in whatever timer or handler sent it.

A page holds 400 items and 256 KiB, at least one item; an answer names what did not fit and is asked again. Versions are compared 10,000 keys at a time. What is on its way from somebody is not asked of the same one again: a 4 MiB value takes 2.2 s over 15 Mbit/s. page_after gives all items in pages, for a first reading. A frame that is too long is counted and logged once: an ask is unsent, an answer stays away. What was not sent in time no longer counts among the bytes that wait for a connection.

--- /dev/null
+++ b/tests/workshop/test_news.py
@@ -0,0 +1,73 @@
+"""News between two that know much, in messages of bounded size."""
+
+import json
+import random
+
+from workshop.jig.clock import Clock
+from workshop.jig.network import Host, Life, LifeWorld, Network
+from workshop.ports import words_of
+from workshop.whistle import news
+from workshop.whistle.news import PAGE, PAGE_BYTES, News
+
+
+class Hearer:
+    """One that tells and hears news."""
+
+    def __init__(self, net: Network, name: str, other: str) -> None:
+        host = Host(name, "z", name)
+        life = host.life = Life(host, 1, lambda life, error: None)
+        life.machine = self
+        net.hosts[name] = host
+        world = LifeWorld(net, life, random.Random(name), 0.0)
+        self.news = News(world, lambda: [other], lambda key, value: None)
+        self.words = words_of(self.news)
+
+    def broken(self, address: str) -> None:
+        pass
+
+
+def two() -> tuple[Clock, Network, News, News]:
+    clock = Clock()
+    net = Network(clock, random.Random(1), 0.0005)
+    return clock, net, Hearer(net, "a", "b").news, Hearer(net, "b", "a").news
+
+
+def test_gaps_of_any_size_are_mended_on_both_sides() -> None:
+    clock, net, a, b = two()
+    for number in range(30):
+        a.offer(f"a{number:02}", [1], "x" * 1_000_000)
+    for number in range(1000):
+        b.offer(f"b{number}", [1], number)
+    clock.run(1.0)
+    a.compare_with("b")
+    b.compare_with("a")
+    clock.run(3.0)
+    assert a.items == b.items
+    assert (len(a.items), net.too_long) == (1030, 0)
+
+
+def test_versions_are_compared_some_at_a_time(monkeypatch) -> None:  # type: ignore[no-untyped-def]
+    monkeypatch.setattr(news, "VERSIONS", 7)
+    clock, _, a, b = two()
+    for number in range(40):
+        (a if number % 3 else b).offer(f"{number}", [1], number)
+    a._fresh.clear()
+    b._fresh.clear()
+    a.compare_with("b")
+    clock.run(3.0)
+    assert len(a.items) == len(b.items) == 40
+
+
+def test_pages_after_each_other_hold_all_and_are_bounded() -> None:
+    _, _, a, _ = two()
+    sizes = [10] * 1000 + [PAGE_BYTES // 3] * 7 + [PAGE_BYTES * 2, 10]
+    for number, size in enumerate(sizes):
+        a.offer(f"{number:04}", [1], "x" * size)
+    after, found, first = "", [], True
+    while first or after:
+        first = False
+        page, after = a.page_after(after)
+        assert 0 < len(page) <= PAGE
+        assert len(page) == 1 or len(json.dumps(page)) < PAGE_BYTES * 1.1
+        found += page
+    assert found == a.everything()
--- a/workshop/belt/links.py
+++ b/workshop/belt/links.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from absl import logging
 from result import Err, Ok
 
 from workshop.belt.netstring import BadFrameError, Reader, pack
@@ -44,9 +45,10 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         _brace(transport)
-        hello = pack({"w": "hello", "b": {"from": self.belt.address}})
+        hello = pack({"w": "hello", "b": {"from": self.belt.address}}).unwrap()
         transport.write(hello + b"".join(data for _, data in self.waiting))
         self.waiting.clear()
+        self.waiting_size = 0
 
     def send(self, number: int | None, data: bytes) -> bool:
         if self.over:
@@ -141,7 +143,9 @@
             if transport.get_write_buffer_size() > QUEUED_MOST:
                 transport.abort()
                 return
-            transport.write(pack({"n": number, "b": body}, blob))
+            data = self.belt.packed({"n": number, "b": body}, blob)
+            if data is not None:  # else the asker waits in vain, as for one that is slow
+                transport.write(data)
 
         return respond
 
@@ -158,6 +162,7 @@
         self.hear, self.on_broken = hear, on_broken
         self.address = ""
         self.strangers = 0
+        self.too_long = 0  # frames that were refused: what makes them must be bounded where it is made
         self.incoming: set[_Incoming] = set()
         self._links: dict[str, _Outgoing] = {}
         self._numbers = itertools.count(1)
@@ -178,23 +183,40 @@
 
     def tell(self, to: str, word: str, body: Json, blob: bytes = b"") -> None:
         """Send and forget."""
-        self._link(to).send(None, pack({"w": word, "b": body}, blob))
+        data = self.packed({"w": word, "b": body}, blob)
+        if data is not None:
+            self._link(to).send(None, data)
 
     def ask(self, to: str, word: str, body: Json, within: float, then: Then, blob: bytes = b"") -> None:
         """Send; `then` hears once what came of it."""
         number = next(self._numbers)
-        link = self._link(to)
         loop = asyncio.get_running_loop()
-        if not link.send(number, pack({"w": word, "b": body, "n": number}, blob)):
+        data = self.packed({"w": word, "b": body, "n": number}, blob)
+        if data is None:
+            loop.call_soon(then, Err(Lost.UNSENT))
+            return
+        link = self._link(to)
+        if not link.send(number, data):
             loop.call_soon(then, Err(Lost.UNSENT))
             return
         link.asked[number] = then, loop.call_later(within, self._late, link, number)
 
+    def packed(self, head: dict[str, Any], blob: bytes) -> bytes | None:
+        """A frame; None where it is too long, which is counted, and logged the first time."""
+        frame = pack(head, blob)
+        if isinstance(frame, Ok):
+            return frame.ok_value
+        self.too_long += 1
+        if self.too_long == 1:
+            logging.error("a frame of %d bytes is not sent: %s", frame.err_value, head.get("w", "an answer"))
+        return None
+
     def _late(self, link: _Outgoing, number: int) -> None:
         found = link.asked.pop(number, None)
         if found is not None:
             before = len(link.waiting)
             link.waiting = [it for it in link.waiting if it[0] != number]
+            link.waiting_size = sum(len(data) for _, data in link.waiting)
             found[0](Err(Lost.UNSENT if len(link.waiting) < before else Lost.SILENT))
 
     def _link(self, to: str) -> _Outgoing:
--- a/workshop/belt/netstring.py
+++ b/workshop/belt/netstring.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterator
 from typing import Any
 
+from result import Err, Ok, Result
+
 MOST = 8 << 20  # bytes of one netstring: a whole configuration and a page of a store's messages fit
 DIGITS = len(str(MOST))
 
@@ -21,14 +23,14 @@
     return b"%d:%b," % (len(data), data)
 
 
-def pack(head: dict[str, Any], blob: bytes = b"") -> bytes:
-    """One frame; `ValueError` where it would be longer than any may be."""
+def pack(head: dict[str, Any], blob: bytes = b"") -> Result[bytes, int]:
+    """One frame; how many bytes it would have, where it would be longer than any may be."""
     if blob:
         head = {**head, "x": 1}
     text = json.dumps(head, separators=(",", ":")).encode()
     if len(text) > MOST or len(blob) > MOST:
-        raise ValueError(f"a frame of {len(text)} and {len(blob)} bytes")
-    return _netstring(text) + (_netstring(blob) if blob else b"")
+        return Err(len(text) + len(blob))
+    return Ok(_netstring(text) + (_netstring(blob) if blob else b""))
 
 
 class Reader:
--- a/workshop/whistle/news.py
+++ b/workshop/whistle/news.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
+import json
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -18,10 +20,14 @@
 PASS_ON = 2  # others that an edge tells of what it has heard
 RUMOUR_S = 0.05  # until it does: by then they have it from their control relays
 ASK_S = 1.0
+FETCH_S = 5.0  # for items to come: a large one takes 2.2 s over a link of 15 Mbit/s
 PAGE = 400  # items in one message
+PAGE_BYTES = 256 << 10  # of their values, but for a single one that is larger
+VERSIONS = 10_000  # versions in one comparison
 
 Version = list[int]
 Item = tuple[Version, Any]
+Told = tuple[str, Version, Any]
 
 
 def _mark(key: str, version: Version) -> int:
@@ -42,6 +48,8 @@
         self.world, self._others, self._heard = world, others, heard
         self._pass_on, self._to_all = pass_on, to_all
         self.items: dict[str, Item] = {}
+        self._sizes: dict[str, int] = {}  # of values that were paged
+        self._coming: dict[str, tuple[str, Version]] = {}  # what was asked for, of whom
         self.sum = 0
         self.mended = 0  # items that came by a comparison
         self._turn = 0
@@ -59,6 +67,7 @@
             self.sum ^= _mark(key, known[0])
         self.sum ^= _mark(key, version)
         self.items[key] = version, value
+        self._sizes.pop(key, None)
         if not self._fresh:
             self.world.later(0.0 if self._to_all else RUMOUR_S, self._pass)
         self._fresh[key] = version, value
@@ -72,17 +81,45 @@
             for to in others:
                 self._send(to, [(key, *item) for key, item in fresh.items()])
             return
-        versions = {key: item[0] for key, item in fresh.items()}
+        versions = [(key, item[0]) for key, item in fresh.items()]
         for to in self.world.chance.sample(others, min(len(others), self._pass_on)):
-            self.world.tell(to, "news.rumour", {"versions": versions})
-
-    def _send(self, to: str, items: list[tuple[str, Version, Any]]) -> None:
-        for at in range(0, len(items), PAGE):
-            self.world.tell(to, "news", {"items": items[at : at + PAGE]})
+            for at in range(0, len(versions), VERSIONS):
+                self.world.tell(to, "news.rumour", {"versions": dict(versions[at : at + VERSIONS])})
+
+    def _send(self, to: str, items: list[Told]) -> None:
+        rest = items
+        while rest:
+            page, rest = self._page(rest)
+            self.world.tell(to, "news", {"items": page})
+
+    def _page(self, items: list[Told]) -> tuple[list[Told], list[Told]]:
+        """What goes into one message, at least one item, and the rest."""
+        room = PAGE_BYTES
+        for at, (key, version, value) in enumerate(items[:PAGE]):
+            room -= self._size(key, version, value)
+            if room < 0 and at:
+                return items[:at], items[at:]
+        return items[:PAGE], items[PAGE:]
+
+    def _size(self, key: str, version: Version, value: Any) -> int:
+        """How long a value is as text; of the newest one it is found once."""
+        known = self.items.get(key)
+        if known is None or known[0] != version:
+            return len(json.dumps(value))
+        if key not in self._sizes:
+            self._sizes[key] = len(json.dumps(value))
+        return self._sizes[key]
 
-    def everything(self) -> list[tuple[str, Version, Any]]:
+    def everything(self) -> list[Told]:
         return [(key, *item) for key, item in self.items.items()]
 
+    def page_after(self, after: str) -> tuple[list[Told], str]:
+        """One page of all items by the order of keys, and after which the next one begins; "" at the end."""
+        items = self.items
+        keys = heapq.nsmallest(PAGE, (key for key in items if key > after))
+        page, rest = self._page([(key, *items[key]) for key in keys])
+        return page, page[-1][0] if rest or len(keys) == PAGE else ""
+
     def take(self, items: Iterable[Any]) -> int:
         """Take several; how many were new."""
         return sum(self.offer(key, version, value) for key, version, value in items)
@@ -98,33 +135,51 @@
             self._turn += 1
             self.compare_with(others[self._turn % len(others)])
 
-    def compare_with(self, to: str) -> None:
-        """Have gaps on either side mended."""
+    def compare_with(self, to: str, after: str = "") -> None:
+        """Have gaps on either side mended, of keys after that one, some at a time."""
 
         def hear(reply: Result[Reply, Lost]) -> None:
             if not isinstance(reply, Ok) or "versions" not in reply.ok_value.body:
                 return
-            theirs = reply.ok_value.body["versions"]
+            theirs, upto = reply.ok_value.body["versions"], reply.ok_value.body.get("next", "")
             more = [
-                (key, *item) for key, item in self.items.items() if key not in theirs or theirs[key] < item[0]
-            ]  # fmt: skip
+                (key, *item)
+                for key, item in self.items.items()
+                if key > after and (not upto or key <= upto) and (key not in theirs or theirs[key] < item[0])
+            ]
             if more:
                 self._send(to, more)
             self._fetch(to, theirs)
+            if upto:
+                self.compare_with(to, upto)
 
-        self.world.ask(to, "news.digest", {"sum": f"{self.sum:x}"}, ASK_S, hear)
+        self.world.ask(to, "news.digest", {"sum": f"{self.sum:x}", "after": after}, ASK_S, hear)
 
     def _fetch(self, to: str, theirs: Mapping[str, Version]) -> None:
-        """Ask another for what it knows and is newer than what is known here."""
+        """Ask another for what it knows and is newer than what is known here, and not on its way already."""
         items = self.items
-        gaps = [key for key, version in theirs.items() if key not in items or items[key][0] < version]
+        gaps = [
+            key
+            for key, version in theirs.items()
+            if (key not in items or items[key][0] < version) and self._coming.get(key) != (to, version)
+        ]
+        self._coming |= {key: (to, theirs[key]) for key in gaps}
+        for at in range(0, len(gaps), PAGE):
+            self._want(to, gaps[at : at + PAGE])
 
+    def _want(self, to: str, keys: list[str]) -> None:
         def take(reply: Result[Reply, Lost]) -> None:
-            if isinstance(reply, Ok):
-                self.mended += self.take(reply.ok_value.body["items"])
+            for key in keys:
+                if self._coming.get(key, ("", []))[0] == to:
+                    del self._coming[key]
+            if not isinstance(reply, Ok):
+                return
+            self.mended += self.take(reply.ok_value.body["items"])
+            rest = reply.ok_value.body.get("rest")
+            if rest and len(rest) < len(keys):
+                self._want(to, rest)
 
-        for at in range(0, len(gaps), PAGE):
-            self.world.ask(to, "news.want", {"keys": gaps[at : at + PAGE]}, ASK_S, take)
+        self.world.ask(to, "news.want", {"keys": keys}, FETCH_S, take)
 
     @on("news.rumour")
     def on_rumour(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
@@ -135,10 +190,15 @@
     def on_digest(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
         if body["sum"] == f"{self.sum:x}":
             respond({}, b"")
-        else:
-            respond({"versions": {key: version for key, (version, _) in self.items.items()}}, b"")
+            return
+        after = body.get("after", "")
+        keys = heapq.nsmallest(VERSIONS, (key for key in self.items if key > after))
+        upto = keys[-1] if len(keys) == VERSIONS else ""
+        respond({"versions": {key: self.items[key][0] for key in keys}, "next": upto}, b"")
 
     @on("news.want")
     def on_want(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Give as many as fit into one message, and name the others."""
         items = self.items
-        respond({"items": [(key, *items[key]) for key in body["keys"] if key in items]}, b"")
+        page, rest = self._page([(key, *items[key]) for key in body["keys"] if key in items])
+        respond({"items": page, "rest": [key for key, _, _ in rest]}, b"")
