--- /dev/null
+++ b/tests/workshop/test_shelf.py
@@ -0,0 +1,116 @@
+"""A core machine's part of the log on a real disk."""
+
+import json
+import queue
+import sqlite3
+import zlib
+from collections.abc import Callable
+from pathlib import Path
+
+from tests.workshop.fakes import Alone
+from workshop.chest.cabinet import Cabinet
+from workshop.jig.clock import Clock
+from workshop.ports import Json
+from workshop.vise.agree import Role, Saved, Vise
+from workshop.vise.shelf import open_shelf
+
+ALONE: Json = {"a": {"addr": "a", "voter": True}}
+
+
+class Lone:
+    """A group of one member on a real file."""
+
+    def __init__(self, folder: Path) -> None:
+        self.posted: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
+        self.state: Json = {}
+        self.saved, self.disk, self.anew = open_shelf(
+            folder, lambda: Saved("a", members=ALONE), self.posted.put
+        )  # fmt: skip
+        clock = Clock()
+        self.vise = Vise(
+            Alone(clock), self.disk, self.saved, self._apply, lambda: dict(self.state), self.state.update,
+            lambda: None,
+        )  # fmt: skip
+        self.vise.begin()
+        clock.run(0.4)
+        self.until(lambda: self.vise.role is Role.LEADER and self.vise.commit == self.vise.last)
+
+    def _apply(self, index: int, command: Json) -> Json:
+        self.state.update(command)
+        return {}
+
+    def until(self, met: Callable[[], bool]) -> None:
+        while not met():
+            self.posted.get(timeout=5.0)()
+
+    def change(self, text: str) -> None:
+        self.vise.propose({"text": text}, lambda said: None)
+        last = self.vise.last
+        self.until(lambda: self.vise.commit >= last)
+
+    def close(self) -> None:
+        self.disk.close()
+
+
+def test_files_stay_small_and_a_start_finds_the_newest(tmp_path: Path) -> None:
+    lone = Lone(tmp_path)
+    most = 0
+    for number in range(60):
+        lone.change(f"{number} " + "x" * 1_000_000)
+        most = max(most, sum(it.stat().st_size for it in tmp_path.iterdir()))
+        assert sum(lone.vise.sizes) < 7_000_000
+    lone.close()
+    assert most < 40_000_000
+    again = Lone(tmp_path)
+    assert not again.anew
+    assert again.state["text"].startswith("59 ")
+    again.close()
+
+
+def test_a_tail_before_the_snapshot_is_there_after_a_start(tmp_path: Path) -> None:
+    lone = Lone(tmp_path)
+    for number in range(600):
+        lone.change(str(number))
+    snap, start = lone.vise.snap, lone.vise.start
+    assert 0 < start < snap < lone.vise.last
+    lone.close()
+    again = Lone(tmp_path)
+    assert (again.vise.snap, again.vise.start) == (snap, start)
+    assert again.vise.entries[:-1] == lone.vise.entries
+    again.close()
+
+
+def put(base: sqlite3.Connection, name: str, value: object) -> None:
+    text = json.dumps(value, separators=(",", ":"))
+    base.execute("insert or replace into state values (?, ?, ?)", (name, text, zlib.crc32(text.encode())))
+
+
+def entry(base: sqlite3.Connection, at: int, term: int) -> None:
+    total = zlib.crc32(f'{at} {term} {{"text":"{at}"}}'.encode())
+    base.execute("insert into log values (?, ?, ?, ?)", (at, term, f'{{"text":"{at}"}}', total))
+
+
+def test_a_file_of_the_program_before_is_read_and_one_with_a_gap_is_not(tmp_path: Path) -> None:
+    def begun(*rows: int) -> Saved:
+        for it in tmp_path.iterdir():
+            it.unlink()
+        open_shelf(tmp_path, lambda: Saved("a", members=ALONE), lambda act: None)[1].close()
+        base = sqlite3.connect(tmp_path / "vise.db", isolation_level=None)
+        put(base, "snap", {"start": 512, "term": 3, "state": {"text": "512"}, "members": ALONE})
+        put(base, "term", (4, "a"))
+        for at in rows:
+            entry(base, at, 3)
+        base.close()
+        saved, disk, anew = open_shelf(tmp_path, lambda: Saved("new"), lambda act: None)
+        assert isinstance(disk, Cabinet)
+        disk.close()
+        assert anew == (saved.me == "new")
+        return saved
+
+    old = begun(513, 514)
+    assert (old.term, old.vote, old.start, old.start_term, old.state) == (4, "a", 512, 3, {"text": "512"})
+    assert (old.entries, old.tail) == ([(3, {"text": "513"}), (3, {"text": "514"})], [])
+    assert begun(513, 515).me == "new"
+    assert begun(514).me == "new"
+    # Before the snapshot gaps may be: it came whole.
+    assert [len(it.tail) for it in (begun(511, 512, 513), begun(509, 511, 512), begun(509, 510))] == [2, 2, 0]
