Choose the core's voters by place, and replace them before the next loss may come

Voters were chosen by name: with a zone to be lost, two of three could stand in one. A voter that was gone was replaced only after catchUpS of silence as its leader counts it, which starts anew with each leader: where the leader itself was replaced, the next loss at the replacement's start + catchUpS left no majority. A machine that came back emptied had its old voter removed at once.

The decision is a module of its own without I/O (seats): as few voters as outlast what may be lost, spread over regions and zones, else the best to be had (said once in the log); one step at a time; never into a membership that a further loss stops if the one before outlasts it; adding before removing where margins are equal. Learners are caught up when they have on disk what was committed at the last look, by match index. What an address was before is marked as gone as its new self is let in, and gives way once that one votes.

--- /dev/null
+++ b/tests/workshop/test_seats.py
@@ -0,0 +1,172 @@
+"""Who of the core votes: the decision alone over drawn memberships, and deployments that lose machines."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import replace
+from functools import partial
+from itertools import combinations
+
+import pytest
+from absl import logging
+
+from workshop.jig.deployment import BOUNDS, Deployment, Machine
+from workshop.jig.mutants import mutated
+from workshop.settings import Tolerance
+from workshop.vise.seats import FEWEST, FORGOTTEN_S, MOST, Seat, margin, next_step
+
+A_MACHINE, A_ZONE, A_REGION = Tolerance(1, 0, 0), Tolerance(1, 1, 0), Tolerance(1, 1, 1)
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    """Machines' logs tell nothing here."""
+    before = logging.get_verbosity()
+    logging.set_verbosity(logging.FATAL)
+    yield
+    logging.set_verbosity(before)
+
+
+def walk(members: list[Seat], tolerance: Tolerance, me: str) -> list[Seat]:
+    """Take all steps, each of which must leave a majority that lives, and end."""
+    seats = {it.name: it for it in members}
+
+    def voters() -> list[Seat]:
+        return [it for it in seats.values() if it.voter]
+
+    for _ in range(30):
+        step = next_step(seats.values(), tolerance, me)
+        if step is None:
+            return list(seats.values())
+        assert step.name != me, "the leader keeps its vote"
+        before, few = margin(voters(), tolerance), len(voters()) < FEWEST
+        if step.voter is None:
+            assert not seats.pop(step.name).voter
+        else:
+            assert seats[step.name].voter is not step.voter
+            seats[step.name] = replace(seats[step.name], voter=step.voter)
+        assert 2 * sum(it.lives and it.caught_up for it in voters()) > len(voters())
+        assert few or margin(voters(), tolerance) >= min(0, before), "a further loss would stop it"
+    raise AssertionError("the steps have no end")
+
+
+def drawn(seed: int) -> tuple[list[Seat], Tolerance, str]:
+    """Some members, a minority of the voters silent; the best voters have all places to choose from."""
+    chance = random.Random(seed)
+    zones = chance.randrange(1, 6)
+    places = [(f"z{at}", f"r{at % chance.choice((1, 2, 3))}") for at in range(zones)]
+    count = chance.choice((1, 3, 3, 3, 5))
+    seats = [Seat(f"v{at}", True, *chance.choice(places)) for at in range(count)]
+    for at in chance.sample(range(1, count), chance.randrange(0, count // 2 + 1)):
+        seats[at] = replace(seats[at], silent_s=9.0, gone=chance.random() < 0.3)
+    for at in range(chance.randrange(0, 6)):
+        seat = Seat(f"l{at}", False, *chance.choice(places))
+        seats.append(replace(seat, caught_up=chance.random() < 0.8, gone=chance.random() < 0.1))
+    tolerance = chance.choice((Tolerance(1, 0, 0), A_ZONE, A_REGION, Tolerance(2, 1, 0), Tolerance(2, 0, 0)))
+    return seats, tolerance, "v0"
+
+
+def falls_short(seed: int) -> bool:
+    """Whether the steps end with voters that are not the best there are."""
+    seats, tolerance, me = drawn(seed)
+    after = walk(seats, tolerance, me)
+    able = [it for it in seats if (it.lives if it.voter else it.ready)]
+    odd = [it for count in (3, 5, 7) for it in combinations(able, count)]
+    most = max((min(0, margin(it, tolerance)) for it in odd), default=-9)
+    voters = [it for it in after if it.voter]
+    return margin(voters, tolerance) < most or len(voters) > MOST
+
+
+def test_steps_end_in_the_best_voters_and_no_step_is_worse_than_the_start() -> None:
+    assert [it for it in range(600) if falls_short(it)] == []
+    with mutated("voters-in-one-zone"):
+        assert any(falls_short(it) for it in range(100))
+
+
+def test_a_learner_that_is_gone_is_removed_and_one_that_lags_does_not_vote() -> None:
+    voters = [Seat(it, True) for it in "abc"]
+    silent = Seat("d", False, silent_s=FORGOTTEN_S + 1)
+    assert [it.name for it in walk([*voters, silent], Tolerance(), "a")] == ["a", "b", "c"]
+    lost = replace(voters[2], silent_s=9.0)
+    assert next_step([*voters[:2], lost, Seat("d", False, caught_up=False)], Tolerance(), "a") is None
+
+
+# -- in whole deployments
+
+
+def begun(seed: int, zones: int, cores: int, tolerance: Tolerance = A_MACHINE) -> Deployment:
+    """Core machines that have found each other."""
+    deployment = Deployment(seed, zones, 0, 0, cores, [], 1.0)
+    deployment.tolerance = tolerance
+    for machine in deployment.cores:
+        machine.start()
+    deployment.clock.run(4.0)
+    return deployment
+
+
+def leader(deployment: Deployment) -> Machine | None:
+    """Who leads and has just heard from a majority."""
+    confirmed: list[Machine] = []
+
+    def hear(machine: Machine, index: int | None) -> None:
+        if index is not None:
+            confirmed.append(machine)
+
+    for machine in deployment.cores:
+        if machine.up and machine.life is not None:
+            machine.life.do(partial(machine.part.vise.confirm, partial(hear, machine)))
+    deployment.clock.run(deployment.clock.now + 0.2)
+    return confirmed[0] if confirmed else None
+
+
+def voting(deployment: Deployment) -> list[Machine]:
+    first = leader(deployment)
+    assert first is not None, "nobody leads"
+    members = first.part.vise.members
+    addresses = [it["addr"] for it in members.values() if it["voter"]]
+    assert len(set(addresses)) == len(addresses)
+    return [it for it in deployment.cores if it.address in addresses]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_zone_holds_half_of_the_voters_where_a_zone_may_be_lost(seed: int) -> None:
+    deployment = begun(seed, 3, 6, A_ZONE)
+    # The founders stand in three zones; with one of them gone, only its own zone has another.
+    machine = next(it for it in deployment.cores[:3] if it is not leader(deployment))
+    machine.power_off()
+    deployment.clock.run(deployment.clock.now + 4.0)
+    assert sorted(it.zone for it in voting(deployment)) == ["z0", "z1", "z2"]
+    for zone in deployment.zones:
+        for it in deployment.cores:
+            if it.zone == zone:
+                it.power_off()
+        deployment.clock.run(deployment.clock.now + 3.0)
+        assert leader(deployment) is not None
+        for it in deployment.cores:
+            if it is not machine:
+                it.start()
+        deployment.clock.run(deployment.clock.now + BOUNDS["catchUpS"])
+
+
+@pytest.mark.parametrize("cores", [3, 4, 5])
+@pytest.mark.parametrize("what", ["replaced", "emptied"])
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_second_loss_when_the_first_is_made_good_leaves_a_majority(
+    cores: int, what: str, leads: bool
+) -> None:
+    for other in range(cores):  # the second that is lost
+        deployment = begun(cores * 10 + other, 3, cores)
+        clock, first = deployment.clock, leader(deployment)
+        lost = next(it for it in voting(deployment) if (it is first) is leads)
+        lost.power_off()
+        if what == "replaced":
+            deployment.remove(lost)
+        else:
+            lost.wipe()
+        clock.run(clock.now + 0.5)
+        machine = deployment.add("core", lost.zone) if what == "replaced" else lost
+        machine.start()
+        clock.run(clock.now + BOUNDS["catchUpS"] - 0.2)
+        rest = [it for it in deployment.cores if it is not machine]
+        (rest[other] if other < len(rest) else machine).power_off()
+        clock.run(clock.now + BOUNDS["contactMs"] / 1000 - 1.0)
+        assert leader(deployment) is not None, f"{other} was lost second"
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -19,6 +19,7 @@
 from workshop.settings import Settings
 from workshop.vise.agree import NotTaken, Role, Saved, Vise
 from workshop.vise.book import SHARDS, Book, digest
+from workshop.vise.seats import Seat, margin, next_step
 from workshop.vise.sharing import share_out
 from workshop.whistle.news import News
 
@@ -34,8 +35,9 @@
 
 def founding(settings: Settings) -> Json:
     """The members that found the log: the seeds of the first start, each in its first incarnation."""
+    unknown = {"voter": True, "name": "", "zone": "", "region": ""}
     return {
-        f"{host}/0": {"addr": to, "voter": True, "name": "", "zone": "", "control": f"{host}:{port}"}
+        f"{host}/0": {**unknown, "addr": to, "control": f"{host}:{port}"}
         for (host, port), to in zip(settings.seeds, internal(settings), strict=True)
     }
 
@@ -66,6 +68,8 @@
         self.counts: dict[str, int] = {}
         self._led = ""
         self._busy: set[str] = set()  # duties under way
+        self._committed = 0  # what was committed at the last look at the members
+        self._short = False  # whether too few voters would be left after a loss
         self._missing: dict[str, float] = {}  # when an owner was first seen without a session
         self._first_seen: dict[str, float] = {}
         self._waits: list[tuple[int, Callable[[], None]]] = []  # for an index to be applied
@@ -242,6 +246,7 @@
             "voter": False,
             "name": self.settings.name,
             "zone": self.settings.zone,
+            "region": self.settings.region,
             "control": f"{control[0]}:{control[1]}" if control else "",
         }
 
@@ -253,21 +258,18 @@
             self.world.tell(leader, "core.join", {**body, "passed": True})
 
     def _let_in(self, body: Json) -> None:
-        """Put a machine into the membership: what it was before goes first, and it learns."""
+        """Put a machine into the membership, to learn: what its address was before is gone."""
         name, told = body["id"], body["member"]
-        members = self.vise.members
-        old = [it for it, member in members.items() if it != name and member["addr"] == told["addr"]]
-        if old:
-            rest = {it: member for it, member in members.items() if it != old[0]}
-            if any(member["voter"] for member in rest.values()):
-                self._members(rest, f"{old[0]} came back as {name}")
-            return
-        member = {**told, "voter": members.get(name, {}).get("voter", False)}
-        if members.get(name) != member:
-            self._members({**members, name: member}, f"{name} is let in")
+        members = {
+            it: {**member, "gone": True} if it != name and member["addr"] == told["addr"] else member
+            for it, member in self.vise.members.items()
+        }
+        members[name] = {**told, "voter": members.get(name, {}).get("voter", False)}
+        if members != self.vise.members:
+            self._members(members, f"{name} is let in")
 
     def _members(self, members: Json, why: str) -> None:
-        if "members" in self._busy or self.vise.members_at > self.vise.commit:
+        if "members" in self._busy or not self.vise.settled:
             return
         self._busy.add("members")
 
@@ -283,22 +285,27 @@
         return None if member is None or self.vise.leader == self.vise.me else str(member["addr"])
 
     def _promote(self) -> None:
-        """As many voters as outlast what may be lost, an odd number; a silent one gives way to another."""
-        tolerance = self.settings.tolerance
-        wanted = max(3, 2 * max(tolerance.machines, tolerance.zones, tolerance.regions) + 1)
-        members, voters = self.vise.members, self.vise.voters
-        ready = [
-            name
-            for name, it in members.items()
-            if not it["voter"] and self.vise.caught_up(name) and self.vise.silent_s(name) < 1.0
-        ]
-        silent = [name for name in voters if self.vise.silent_s(name) > self.settings.seconds("catchUpS")]
-        if ready and (len(voters) < wanted or (silent and len(voters) == wanted)):
-            name = min(ready)
-            self._members({**members, name: {**members[name], "voter": True}}, f"{name} votes")
-        elif len(voters) > wanted:
-            name = min(silent or [it for it in voters if it != self.vise.me])
-            self._members({**members, name: {**members[name], "voter": False}}, f"{name} votes no more")
+        """Change the voters by one, or remove a member, where that is the next thing to do."""
+        vise, tolerance = self.vise, self.settings.tolerance
+        committed, self._committed = self._committed, vise.commit
+        seats = [
+            Seat(
+                name, it["voter"], it["zone"], it.get("region", ""),
+                vise.holds(name, min(committed, vise.commit)), vise.silent_s(name), it.get("gone", False),
+            )
+            for name, it in vise.members.items()
+        ]  # fmt: skip
+        short = margin((it for it in seats if it.voter), tolerance) < 0
+        if short != self._short:
+            self._short = short
+            logging.info("core voters %s what may be lost at once", "do not outlast" if short else "outlast")
+        step = next_step(seats, tolerance, vise.me)
+        if step is not None:
+            members = dict(vise.members)
+            it = members.pop(step.name)
+            if step.voter is not None:
+                members[step.name] = {**it, "voter": step.voter}
+            self._members(members, f"{step.name} {step.why}")
 
     # -- duties of the leader
 
--- a/workshop/vise/agree.py
+++ b/workshop/vise/agree.py
@@ -22,7 +22,6 @@
 ANSWER_S = 0.4  # for a member to answer
 BATCH = 64  # entries in one message
 COMPACT = 512  # entries in the log until a snapshot takes their place
-CAUGHT_UP = 8  # entries a learner may lack to count as caught up
 
 Entry = tuple[int, Json | None]  # term and command; None: a new leader's first entry
 
@@ -337,12 +336,18 @@
         self._push()
 
     def change_members(self, members: Json, answered: Answered) -> None:
-        """Put another membership in place: one change at a time, each of one voter at most."""
+        """Put another membership in place: one change at a time, each of one voter at most.
+
+        It is not begun before the one before it and an entry of this leader's term are committed (else two
+        leaders' majorities could be disjoint), nor before a majority of the new voters has what is committed.
+        """
         voters = {name for name, it in members.items() if it["voter"]}
+        held = sum(1 for name in voters if self.holds(name, self.commit))
         if (
             self.role is not Role.LEADER
-            or self.members_at > self.commit
+            or not self.settled
             or self.term_at(self.commit) != self.term
+            or 2 * held <= len(voters)
         ):
             answered(Err(NotTaken.ELSEWHERE))
             return
@@ -572,18 +577,28 @@
             self._hold(self.term + 1, True)
 
     def hand_over(self) -> None:
-        """Before a planned end: have the member that lacks least stand for election at once."""
+        """Before a planned end: have the voter that lacks least, of those that answer, stand at once."""
         if self.role is Role.LEADER:
-            others = [(it.match, name) for name, it in self._peers.items() if self.members[name]["voter"]]
+            others = [
+                (it.match, name)
+                for name, it in self._peers.items()
+                if self.members[name]["voter"] and self.silent_s(name) < ELECTION_S[0]
+            ]
             if others:
                 name = max(others)[1]
                 self.world.tell(self.members[name]["addr"], "vise.now", {"term": self.term, "to": name})
 
-    def caught_up(self, name: str) -> bool:
+    @property
+    def settled(self) -> bool:
+        """Whether the membership is committed."""
+        return self.members_at <= self.commit
+
+    def holds(self, name: str, index: int) -> bool:
+        """Whether a member is known to have the log up to an entry on its disk."""
+        if name == self.me:
+            return self.synced >= index
         peer = self._peers.get(name)
-        return (
-            peer is not None and peer.match + CAUGHT_UP >= self.last and self.commit - peer.match <= CAUGHT_UP
-        )
+        return peer is not None and peer.match >= index
 
     def silent_s(self, name: str) -> float:
         """For how long a member has not answered this leader."""
