Tell stores that do not answer from slow answers before refusing messages at once

A store counts as silent once it has answered nothing at all for 150 ms since it was asked something; such stores are asked every 100 ms until enough answer.

--- a/workshop/lathe/spread.py
+++ b/workshop/lathe/spread.py
@@ -19,6 +19,8 @@
 FULL_S = 3.0
 MARK_S = 0.02  # ends are gathered for so long
 MARK_ANSWER_S = 0.5
+DARK_S = 0.15  # without an answer to anything until a store is taken for one that does not answer
+PROBE_S = 0.1  # between questions to such a store
 AGAIN_S = 0.3  # between tries to tell a store that does not answer
 MARKS = 512  # in one message
 
@@ -57,6 +59,8 @@
         self._suspect: dict[str, float] = {}
         self._marks: dict[str, dict[str, list[object]]] = {}  # by store: ends that it has not acknowledged
         self._telling: set[str] = set()
+        self._unanswered: dict[str, float] = {}  # by store: the first ask since its last answer
+        self._probed: dict[str, float] = {}
         self.hedges = 0
 
     def roster_is(self, roster: Json) -> None:
@@ -65,8 +69,9 @@
             disk: StoreAt(it["name"], it["addr"], it["zone"], it["region"], it["state"])
             for disk, it in roster.items()
         }
-        for name in set(self._marks) - set(self.stores):
-            del self._marks[name]
+        for known in (self._marks, self._unanswered, self._probed):
+            for name in set(known) - set(self.stores):
+                del known[name]
 
     def _hold(self, disks: set[str]) -> bool:
         machines = {self.stores[disk].name: self.stores[disk].place for disk in disks if disk in self.stores}
@@ -87,6 +92,43 @@
         now = self.world.now()
         return self.enough({it for it in self._writable() if self._suspect.get(it, 0.0) <= now})
 
+    def asked(self, name: str) -> None:
+        """A store was asked something."""
+        self._unanswered.setdefault(name, self.world.now())
+
+    def answered(self, name: str) -> None:
+        self._unanswered.pop(name, None)
+
+    def dark(self) -> bool:
+        """Whether too few stores answer anything: what is written now could only be given up on late.
+
+        A slow answer is no silence: on links that lose packets some answer always is.
+        """
+        now = self.world.now()
+        silent = {it for it in self._writable() if now - self._unanswered.get(it, now) > DARK_S}
+        if self.enough(set(self._writable()) - silent):
+            return False
+        for name in silent:
+            self._probe(name, now)
+        return True
+
+    def _probe(self, name: str, now: float) -> None:
+        if now - self._probed.get(name, -1e9) < PROBE_S:
+            return
+        self._probed[name] = now
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            if isinstance(reply, Ok) and reply.ok_value.body.get("ok"):
+                self.answered(name)
+            else:
+                self.world.later(PROBE_S, self._look_again)
+
+        self.world.ask(self.stores[name].address, "marks", {"marks": []}, MARK_ANSWER_S, hear)
+
+    def _look_again(self) -> None:
+        """Ask until enough answer, also while no message comes."""
+        self.dark()
+
     def _writable(self) -> list[str]:
         return [name for name, it in self.stores.items() if it.state == "full"]
 
@@ -155,6 +197,8 @@
 
         def hear(reply: Result[Reply, Lost]) -> None:
             self._telling.discard(name)
+            if isinstance(reply, Ok):
+                self.answered(name)
             if isinstance(reply, Ok) and reply.ok_value.body.get("ok"):
                 left = self._marks.get(name, {})
                 for row in rows:
@@ -165,6 +209,7 @@
             self._cover(name, rows)
             self.world.later(AGAIN_S, lambda: self._tell(name))
 
+        self.asked(name)
         self.world.ask(store.address, "marks", {"marks": rows}, MARK_ANSWER_S, hear)
 
     def _cover(self, silent: str, rows: list[list[object]]) -> None:
@@ -244,6 +289,7 @@
         store = self.spread.stores[name]
         body = self.message.body
         assert body is not None, "a message is kept with its body"
+        self.spread.asked(name)
         within = max(0.05, self.until - self.spread.world.now())
         self.spread.world.ask(
             store.address, "put", self.body, within, lambda reply: self._hear(name, reply), body
@@ -251,6 +297,8 @@
 
     def _hear(self, name: str, reply: Result[Reply, Lost]) -> None:
         self.waiting.discard(name)
+        if isinstance(reply, Ok):
+            self.spread.answered(name)
         if isinstance(reply, Err):
             self.unclear |= reply.err_value is not Lost.UNSENT
             self.spread.suspect(name, 0.3 if reply.err_value is not Lost.SILENT else SUSPECT_S)
--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -35,7 +35,6 @@
 SWEEP_S = 1.0
 RETENTION_SLACK_S = 0.5  # clients' sends are known only by their arrival
 HELD_SHARE = 0.35  # part of the memory that bodies in hand may take
-DARK_S = 0.1  # too few stores answer for so long: what comes is refused at once, and not written in part
 RATE_WAIT_S = 1.0  # until a larger part of a service's rate is used: others have heard of it by then
 KEPT_BACK = frozenset(
     (
@@ -153,7 +152,6 @@
         self.short: dict[str, Message] = {}  # messages that too few disks hold
         self._mending: set[str] = set()
         self._roster, self._roster_since = 0, 0.0
-        self._dark_since: float | None = None  # since when too few stores answer
 
     def begin(self) -> None:
         self.member.begin()
@@ -334,7 +332,7 @@
         if shard is None:
             self._refuse(finish, 503, "no shard has an owner")
             return
-        if shard in self.shards.mine and self._dark():
+        if shard in self.shards.mine and self.spread.dark():
             self._refuse(finish, 503, "too few stores answer")
             return
         wall = self.world.wall()
@@ -358,15 +356,6 @@
 
         _Offer(self, message, seconds, say).go()
 
-    def _dark(self) -> bool:
-        """Whether no message can be held for now: one written in part could only be given up on late."""
-        now = self.world.now()
-        if self.spread.reachable():
-            self._dark_since = None
-        elif self._dark_since is None:
-            self._dark_since = now
-        return self._dark_since is not None and now - self._dark_since > DARK_S
-
     def _shard_for(self, key: str) -> int | None:
         if key:
             return shard_of(key, SHARDS)
@@ -385,7 +374,7 @@
         self._count("offered")
         if message.seen > self.routes.index:
             self.news.compare_with(origin)
-        if body["shard"] in self.shards.mine and self._dark():
+        if body["shard"] in self.shards.mine and self.spread.dark():
             respond({"taken": Taken.REFUSED.value, "dark": True}, b"")
             return
         self.shards.accept(message, lambda taken: respond({"taken": taken.value}, b""))
