--- a/tests/workshop/test_jig.py
+++ b/tests/workshop/test_jig.py
@@ -19,7 +19,9 @@
     logging.set_verbosity(before)
 
 
-@pytest.mark.parametrize(("seed", "aim"), [(1, ""), (2, ""), (11, "closing"), (15, "core"), (39, "edges"), (504, "config")])
+@pytest.mark.parametrize(
+    ("seed", "aim"), [(1, ""), (2, ""), (11, "closing"), (15, "core"), (39, "edges"), (504, "config")]
+)
 def test_drawn_days_break_no_rule(seed: int, aim: str) -> None:
     assert play(seed, aim) == []
 
