--- a/tests/workshop/test_replication.py
+++ b/tests/workshop/test_replication.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from tests.workshop.group import SLOW, Group, Member
-from workshop.vise.agree import COMPACT_BYTES, TAIL_BYTES
+from workshop.vise.agree import COMPACT_BYTES, ELECTION_S, TAIL_BYTES
 
 
 @pytest.fixture(autouse=True)
@@ -46,20 +46,24 @@
     assert away.vise.voting
     assert group.leader is leader
     assert max(group.seconds) < 1.0
+    assert all(sum(it.vise.sizes) < COMPACT_BYTES + TAIL_BYTES + size for it in group.members.values())
 
 
 def test_a_slow_member_stays_a_follower_while_it_is_sent_what_is_large() -> None:
     group = Group()
     slow, leader = follower(group), group.leader
     slow.rate, slow.loss = SLOW, 0.01
-    for number in range(12):
-        group.change(number, 4_000_000)
-        group.run(0.5)
-    group.run(15.0)
+    silent = 0.0
+    for step in range(210):
+        if step < 60 and step % 5 == 0:
+            group.change(step, 4_000_000)
+        group.run(0.1)
+        silent = max(silent, group.clock.now - slow.vise.heard)
     assert (group.behind, group.faults, group.net.too_long) == ([], [], 0)
     assert group.leader is leader
     assert leader is not None
-    assert leader.vise.elections == 1
+    assert (leader.vise.elections, slow.vise.elections) == (1, 0)
+    assert silent < ELECTION_S[0]
     assert max(group.seconds) < 1.0
 
 
@@ -81,18 +85,19 @@
     assert away.replica.state["numbers"] == [0, 1]
 
 
-def test_an_error_for_one_peer_touches_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_error_for_one_peer_touches_no_other() -> None:
     group = Group()
     leader, poor = group.leader, follower(group)
     assert leader is not None
-    ask = leader.vise.world.ask
+    world: Any = leader.vise.world
+    ask = world.ask
 
     def fail(to: str, *rest: Any, **more: Any) -> None:
         if to == poor.address:
             raise ValueError("no frame")
         ask(to, *rest, **more)
 
-    monkeypatch.setattr(leader.vise.world, "ask", fail)
+    world.ask = fail
     for number in range(10):
         group.change(number, 1000)
         group.run(0.3)
@@ -134,6 +139,44 @@
         assert group.behind == []
 
 
+def test_a_snapshot_holds_the_newest_membership() -> None:
+    group = Group()
+    away = follower(group)
+    away.stop()
+    away.wipe()
+    away.start()
+    group.let_in(away)
+    group.run(3.0)
+    members = away.vise.members
+    assert away.vise.me in members
+    for number in range(6):
+        group.change(number, 1_000_000)
+        group.run(0.3)
+    assert all(it.vise.snap > it.vise.members_at - 1 > 0 for it in group.members.values())
+    for member in group.members.values():
+        member.stop()
+    for member in group.members.values():
+        member.start()
+    group.run(3.0)
+    assert [it.vise.members for it in group.members.values()] == [members] * 3
+    assert group.leader is not None
+
+
+def test_what_was_acknowledged_outlasts_a_loss_of_all() -> None:
+    group = Group()
+    for number in range(20):
+        group.change(number, 100_000)
+        group.run(0.2)
+    assert group.taken == list(range(20))
+    for member in group.members.values():
+        member.stop()
+    for member in group.members.values():
+        member.start()
+    group.run(3.0)
+    for member in group.members.values():
+        assert member.replica.state["numbers"] == list(range(20))
+
+
 def trouble(group: Group, chance: random.Random) -> None:
     """For a while one member is away, slow, emptied, cut off or reset, or its disk stalls or is full."""
     member = group.members[chance.choice("abc")]
