--- a/tests/workshop/group.py
+++ b/tests/workshop/group.py
@@ -9,7 +9,8 @@
 from workshop.jig.disk import DiskOf, Shelf
 from workshop.jig.network import Host, Life, LifeWorld, Network
 from workshop.ports import Json, words_of
-from workshop.vise.agree import NotTaken, Role, Saved, Vise
+from workshop.vise.agree import NotTaken, Role, Vise
+from workshop.vise.log import Saved
 
 SLOW = 15e6 / 8  # bytes a second
 
--- a/tests/workshop/test_replication.py
+++ b/tests/workshop/test_replication.py
@@ -9,7 +9,8 @@
 from absl import logging
 
 from tests.workshop.group import SLOW, Group, Member
-from workshop.vise.agree import COMPACT_BYTES, ELECTION_S, TAIL_BYTES
+from workshop.vise.agree import ELECTION_S
+from workshop.vise.log import COMPACT_BYTES, TAIL_BYTES
 
 
 @pytest.fixture(autouse=True)
@@ -46,7 +47,7 @@
     assert away.vise.voting
     assert group.leader is leader
     assert max(group.seconds) < 1.0
-    assert all(sum(it.vise.sizes) < COMPACT_BYTES + TAIL_BYTES + size for it in group.members.values())
+    assert all(sum(it.vise.log.sizes) < COMPACT_BYTES + TAIL_BYTES + size for it in group.members.values())
 
 
 def test_a_slow_member_stays_a_follower_while_it_is_sent_what_is_large() -> None:
@@ -81,7 +82,7 @@
     for at in range(1, 20):  # 4 MB take 2.1 s; a snapshot from its beginning each time would never come whole
         group.clock.later(0.4 * at, partial(group.net.reset, away))
     group.run(6.0)
-    assert (group.behind, group.faults, away.vise.snap) == ([], [], 3)
+    assert (group.behind, group.faults, away.vise.log.snap) == ([], [], 3)
     assert away.replica.state["numbers"] == [0, 1]
 
 
@@ -117,7 +118,7 @@
     assert len(group.taken) == 500
     assert (group.behind, group.faults, group.net.too_long) == ([], [], 0)
     for member in group.members.values():
-        assert sum(member.vise.sizes) < COMPACT_BYTES + TAIL_BYTES + 1_100_000
+        assert sum(member.vise.log.sizes) < COMPACT_BYTES + TAIL_BYTES + 1_100_000
         assert member.replica.state == group.members["a"].replica.state
     for name in ("a", "b", "c"):  # each leads, right after a restart of its own, with all that was taken
         member = group.members[name]
@@ -152,7 +153,7 @@
     for number in range(6):
         group.change(number, 1_000_000)
         group.run(0.3)
-    assert all(it.vise.snap > it.vise.members_at - 1 > 0 for it in group.members.values())
+    assert all(it.vise.log.snap > it.vise.members_at - 1 > 0 for it in group.members.values())
     for member in group.members.values():
         member.stop()
     for member in group.members.values():
--- a/tests/workshop/test_shelf.py
+++ b/tests/workshop/test_shelf.py
@@ -11,7 +11,8 @@
 from workshop.chest.cabinet import Cabinet
 from workshop.jig.clock import Clock
 from workshop.ports import Json
-from workshop.vise.agree import Role, Saved, Vise
+from workshop.vise.agree import Role, Vise
+from workshop.vise.log import Saved
 from workshop.vise.shelf import open_shelf
 
 ALONE: Json = {"a": {"addr": "a", "voter": True}}
@@ -58,7 +59,7 @@
     for number in range(60):
         lone.change(f"{number} " + "x" * 1_000_000)
         most = max(most, sum(it.stat().st_size for it in tmp_path.iterdir()))
-        assert sum(lone.vise.sizes) < 7_000_000
+        assert sum(lone.vise.log.sizes) < 7_000_000
     lone.close()
     assert most < 40_000_000
     again = Lone(tmp_path)
@@ -71,11 +72,11 @@
     lone = Lone(tmp_path)
     for number in range(600):
         lone.change(str(number))
-    snap, start = lone.vise.snap, lone.vise.start
+    snap, start = lone.vise.log.snap, lone.vise.log.start
     assert 0 < start < snap < lone.vise.last
     lone.close()
     again = Lone(tmp_path)
-    assert (again.vise.snap, again.vise.start) == (snap, start)
+    assert (again.vise.log.snap, again.vise.log.start) == (snap, start)
     assert again.vise.entries[:-1] == lone.vise.entries
     again.close()
 
--- a/tests/workshop/test_vise.py
+++ b/tests/workshop/test_vise.py
@@ -9,7 +9,8 @@
 from workshop.jig.clock import Clock
 from workshop.jig.disk import Shelf
 from workshop.ports import Json
-from workshop.vise.agree import Saved, Vise, text_of
+from workshop.vise.agree import Vise
+from workshop.vise.log import Saved, text_of
 from workshop.vise.parts import PART, Pace, Sending, whole_of
 
 MEMBERS = {name: {"addr": name, "voter": True} for name in "abc"}
@@ -162,3 +163,15 @@
     assert learner.part(sending, 0, b"") == {"ok": True, "term": 1}
     learner.start()
     assert learner.vise.commit == 9
+
+
+def test_a_start_heeds_no_leader_of_an_older_term_than_its_last_entry() -> None:
+    saved = Saved("a", 4, "b", members=MEMBERS, entries=[(4, {"n": 1}), (5, {"n": 2})])
+    vise = Vise(
+        Alone(Clock()), Refusing(), saved, lambda index, command: {}, dict, lambda state: None, lambda: None
+    )  # fmt: skip
+    said: list[Json] = []
+    body = {"term": 4, "me": "b", "to": "a", "commit": 0, "prev": 1, "prev_term": 4, "entries": [(4, None)]}
+    vise.on_append(body, b"", "b", lambda body, blob: said.append(body))
+    assert said == [{"ok": False, "term": 5, "stranger": False}]
+    assert vise.entries == [(4, {"n": 1}), (5, {"n": 2})]
--- a/workshop/jig/disk.py
+++ b/workshop/jig/disk.py
@@ -12,7 +12,7 @@
 from workshop.jig.clock import Clock
 from workshop.jig.network import Life
 from workshop.ports import Json
-from workshop.vise.agree import Saved, assemble
+from workshop.vise.log import Saved, assemble
 
 Row = tuple[str, tuple[Any, ...]]
 READ_S = 0.0005
--- a/workshop/jig/explore.py
+++ b/workshop/jig/explore.py
@@ -17,7 +17,8 @@
 
 from workshop.jig.clock import Timer
 from workshop.ports import Json, Reply, Then
-from workshop.vise.agree import Entry, Role, Saved, Vise
+from workshop.vise.agree import Role, Vise
+from workshop.vise.log import Entry, Saved
 
 NAMES = ("a", "b", "c")
 VOTERS: Json = {name: {"addr": name, "voter": True} for name in NAMES}
--- a/workshop/jig/faults_frames.py
+++ b/workshop/jig/faults_frames.py
@@ -2,30 +2,37 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
-from contextlib import AbstractContextManager
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import AbstractContextManager, contextmanager
 from typing import Any
 from unittest.mock import patch
 
 from workshop.jig import disk
 from workshop.ports import Json
-from workshop.vise import agree
-from workshop.vise.agree import Saved, Vise
+from workshop.vise import agree, log
+from workshop.vise.agree import Vise
+from workshop.vise.log import Log, Saved
 from workshop.vise.parts import Receiving, Sending
 
 
+@contextmanager
+def _both(*those: AbstractContextManager[Any]) -> Iterator[None]:
+    with those[0], those[1]:
+        yield
+
+
 def _batch_unbounded() -> AbstractContextManager[Any]:
     """A message takes so many entries, whatever their size."""
-    return patch.object(agree, "PART", 1 << 40)
+    return _both(patch.object(agree, "PART", 1 << 40), patch.object(log, "PART", 1 << 40))
 
 
 def _members_left_behind() -> AbstractContextManager[Any]:
     """A snapshot keeps the membership of the one before."""
 
-    def members_until(self: Vise, index: int) -> Json:
+    def members_until(self: Log, index: int) -> Json:
         return self.base_members
 
-    return patch.object(Vise, "_members_until", members_until)
+    return patch.object(Log, "members_until", members_until)
 
 
 def _sum_unchecked() -> AbstractContextManager[Any]:
@@ -60,18 +67,18 @@
 
 def _snapshot_unsynced() -> AbstractContextManager[Any]:
     """A snapshot counts as being on disk as soon as it is on its way there."""
-    save = Vise._save
+    save = Log._save
 
-    def early(self: Vise, rows: Any, write: Any, snap: int = 0) -> None:
+    def early(self: Log, rows: Any, write: Any, snap: int = 0) -> None:
         self.synced = max(self.synced, snap)
         save(self, rows, write, snap)
 
-    return patch.object(Vise, "_save", early)
+    return patch.object(Log, "_save", early)
 
 
 def _last_forgotten() -> AbstractContextManager[Any]:
     """A restarted member forgets the last entry that it acknowledged."""
-    assemble = agree.assemble
+    assemble = log.assemble
 
     def forget(saved: Saved, rows: Iterable[tuple[int, int, Json | None]]) -> Saved | None:
         found = assemble(saved, rows)
@@ -105,7 +112,7 @@
 
 def _cut_by_count_alone() -> AbstractContextManager[Any]:
     """The log is cut after so many entries, whatever their size."""
-    return patch.object(agree, "COMPACT_BYTES", 1 << 40)
+    return patch.object(log, "COMPACT_BYTES", 1 << 40)
 
 
 # By name: the fault, and the aim of the days in which it may be looked for as well.
--- a/workshop/jig/mutants.py
+++ b/workshop/jig/mutants.py
@@ -23,7 +23,8 @@
 from workshop.machine.store import Store
 from workshop.ports import Called, Json, Lost, Reply
 from workshop.settings import Settings
-from workshop.vise.agree import Saved, Vise
+from workshop.vise.agree import Vise
+from workshop.vise.log import Saved
 from workshop.whistle.news import News
 
 Mutant = Callable[[], AbstractContextManager[Any]]
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -17,8 +17,9 @@
 from workshop.machine.member import internal
 from workshop.ports import Disk, Json, Lost, Reply, Respond, World, on, words_of
 from workshop.settings import Settings
-from workshop.vise.agree import NotTaken, Role, Saved, Vise
+from workshop.vise.agree import NotTaken, Role, Vise
 from workshop.vise.book import SHARDS, Book, digest
+from workshop.vise.log import Saved
 from workshop.vise.sharing import share_out
 from workshop.whistle.news import News
 
--- a/workshop/vise/agree.py
+++ b/workshop/vise/agree.py
@@ -8,34 +8,24 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from enum import Enum
 from functools import partial
-from itertools import islice
 
 from absl import logging
 from result import Err, Ok, Result
 
 from workshop.ports import Disk, Handle, Json, Lost, Reply, Respond, World, on
+from workshop.vise.log import Entry, Log, Saved
 from workshop.vise.parts import ANSWER_S, PART, Pace, Part, Receiving, Sending, Whole, patience, whole_of
 
 BEAT_S = 0.1  # between a leader's messages to a member
 FIRST_S = (0.05, 0.3)  # the same right after a start, when nobody was heard yet
 ELECTION_S = (0.5, 0.9)  # without a leader's word until a member stands for election
-BATCH = 64  # entries in one message, which are of PART bytes at most in all
-COMPACT = 512  # entries since the last snapshot until another one is made
-COMPACT_BYTES = (
-    4 << 20
-)  # the same in bytes, or as many as the snapshot has: what is written stays within twice
-TAIL = 128  # entries before the snapshot that are kept for members that lack only a few
-TAIL_BYTES = 1 << 20  # of these
-AGAIN_MOST_S = 1.6  # between tries to write what the disk refuses, at most
 WAITING = 8  # answers that wait for the disk: older ones are waited for no more
 CAUGHT_UP = 8  # entries a learner may lack to count as caught up
 
-Entry = tuple[int, Json | None]  # term and command; None: a new leader's first entry
-
 
 class Role(Enum):
     """What a member does in its term."""
@@ -52,48 +42,6 @@
     UNCLEAR = "unclear"  # leadership ended while it was under way: it may or may not be taken
 
 
-def text_of(value: Json | None) -> str:
-    """A command or a snapshot as it goes to disk and to others."""
-    return json.dumps(value, separators=(",", ":"))
-
-
-@dataclass(slots=True)
-class Saved:
-    """What a member has on disk."""
-
-    me: str
-    term: int = 0
-    vote: str = ""
-    start: int = 0  # the last entry that the snapshot covers
-    start_term: int = 0
-    state: Json | None = None
-    members: Json = field(default_factory=dict)
-    entries: list[Entry] = field(default_factory=list)  # behind what the snapshot covers
-    tail: list[Entry] = field(default_factory=list)  # the last ones that it covers, as far as they are kept
-
-
-def assemble(saved: Saved, rows: Iterable[tuple[int, int, Json | None]]) -> Saved | None:
-    """Put the rows of a log, in their order, behind and before a snapshot; None where some are missing.
-
-    What the snapshot covers may have gaps: it came whole from a leader, or was written when entries before it
-    were refused.
-    """
-    before = 0
-    for at, term, command in rows:
-        if at <= saved.start:
-            if at != before + 1:
-                saved.tail.clear()
-            saved.tail.append((term, command))
-            before = at
-        elif at == saved.start + len(saved.entries) + 1:
-            saved.entries.append((term, command))
-        else:
-            return None
-    if before != saved.start or (saved.tail and saved.tail[-1][0] != saved.start_term):
-        saved.tail.clear()
-    return saved
-
-
 @dataclass(slots=True)
 class _Peer:
     """What a leader knows of another member."""
@@ -112,14 +60,6 @@
         return slot in self.out and now < self.out[slot][1]
 
 
-@dataclass(slots=True, eq=False)
-class _Write:
-    """Entries on their way to the disk."""
-
-    first: int
-    last: int
-
-
 Answered = Callable[[Result[Json, NotTaken]], None]
 
 
@@ -139,23 +79,16 @@
         self.world, self.disk, self.me = world, disk, saved.me
         self._apply, self._snapshot, self._restore, self._on_change = apply, snapshot, restore, on_change
         self.term, self.vote = saved.term, saved.vote
-        # The snapshot, and the log, which begins after `start`: some entries before the snapshot's end.
-        self.snap, self.snap_term, self.state = saved.start, saved.start_term, saved.state
-        self.start, self.start_term, self.entries = saved.start, saved.start_term, list(saved.entries)
-        if saved.tail:
-            self.start, self.start_term = saved.start - len(saved.tail) + 1, saved.tail[0][0]
-            self.entries = saved.tail[1:] + self.entries
-        self.sizes = [len(text_of(command)) for _, command in self.entries]
-        self._snap_size = len(text_of(self.state))
-        self._since = 0  # bytes applied since the snapshot
-        self.base_members: Json = saved.members
+        self.log = Log(world, disk, saved, self._synced)
+        newest = self.term_at(self.last)
+        if newest > self.term:
+            # The disk took entries of a term whose own row it refused: no leader of an older one is heeded,
+            # lest it takes back what was acknowledged; nor is it known whom this member voted for.
+            self.term, self.vote = newest, self.me
         self.members: Json = saved.members
-        self.members_at = self.start
+        self.members_at = self.log.start
         self.role, self.leader = Role.FOLLOWER, ""
-        self.commit = self.applied = self.snap
-        self.synced = self.last  # entries up to here are on disk, by themselves or in a snapshot
-        self._snap_synced = self.snap
-        self._writing: list[_Write] = []
+        self.commit = self.applied = self.log.snap
         self._unsynced: list[tuple[int, int, Callable[[], None]]] = []  # index, term, who waits for the disk
         self._receiving: Receiving | None = None
         self.failures = 0  # messages that could not be made
@@ -170,31 +103,34 @@
         self._confirms: list[tuple[int, Callable[[int | None], None]]] = []
         self._timer: Handle | None = None
         self._stopped = False
-        self._again_s = BEAT_S  # until what the disk refuses is written again
-        self._refused = False  # whether the disk has refused entries that are not written again yet
-        if self.state is not None:
-            restore(self.state)
+        if self.log.state is not None:
+            restore(self.log.state)
         self._find_members()
 
     # -- the log
 
+    @property
+    def entries(self) -> list[Entry]:
+        return self.log.entries
+
     @property
     def last(self) -> int:
-        return self.start + len(self.entries)
+        return self.log.last
+
+    @property
+    def synced(self) -> int:
+        return self.log.synced
+
+    @property
+    def base_members(self) -> Json:
+        return self.log.base_members
 
     def term_at(self, index: int) -> int:
-        if index == self.start:
-            return self.start_term
-        return self.entries[index - self.start - 1][0] if self.start < index <= self.last else -1
+        return self.log.term_at(index)
 
     def _find_members(self) -> None:
         """The newest membership in the log holds as soon as it is there, committed or not."""
-        self.members, self.members_at = self.base_members, self.start
-        for offset in range(len(self.entries) - 1, -1, -1):
-            command = self.entries[offset][1]
-            if command is not None and "members" in command:
-                self.members, self.members_at = command["members"], self.start + offset + 1
-                break
+        self.members, self.members_at = self.log.members()
 
     @property
     def voters(self) -> list[str]:
@@ -341,72 +277,18 @@
     # -- entries
 
     def _append(self, entries: list[Entry]) -> None:
-        first = self.last + 1
-        self.entries += entries
-        self.sizes += [len(text_of(command)) for _, command in entries]
-        for term, command in entries:
-            del term
-            if command is not None and "members" in command:
-                self._find_members()
-                self._meet()
-        self._save_entries(first, entries, 0)
-
-    def _save_entries(self, first: int, entries: list[Entry], cut: int) -> None:
-        rows: list[tuple[str, tuple[object, ...]]] = [("cut", (cut,))] if cut else []
-        rows += [("entry", (first + at, term, command)) for at, (term, command) in enumerate(entries)]
-        self._save(rows, _Write(first, first + len(entries) - 1))
-
-    def _save(self, rows: list[tuple[str, tuple[object, ...]]], write: _Write, snap: int = 0) -> None:
-        """Write entries, and a snapshot if its index is named; what has lasted is counted then."""
-
-        def done(error: str | None) -> None:
-            if self._stopped:
-                return
-            if write in self._writing:
-                self._writing.remove(write)
-            if error is not None:
-                if not self._refused:
-                    self._refused = True
-                    self.world.later(self._again_s, self._save_rest)
-                    self._again_s = min(AGAIN_MOST_S, 2 * self._again_s)
-                return
-            self._again_s = BEAT_S
-            self._snap_synced = max(self._snap_synced, snap)
-            self.synced = max(self.synced, snap)
-            if write.first <= self.synced + 1:
-                self.synced = max(self.synced, write.last)
+        self.log.append(entries)
+        if any(command is not None and "members" in command for _, command in entries):
+            self._find_members()
+            self._meet()
+
+    def _synced(self) -> None:
+        """More entries are on disk."""
+        if not self._stopped:
             self._tell_synced()
             if self.role is Role.LEADER:
                 self._count()
 
-        if not self._refused:  # else it is written with the rest
-            self._writing.append(write)
-            self.disk.write(rows, done)
-
-    def _save_rest(self) -> None:
-        """Write all that is not known to be on disk: a log with a gap would be worth nothing at a start."""
-        self._refused = False
-        rows: list[tuple[str, tuple[object, ...]]] = []
-        if self._snap_synced < self.snap:
-            rows.append(self._snap_row())
-        first = max(self.synced, self.start) + 1
-        rest = self.entries[first - self.start - 1 :]
-        rows.append(("cut", (first,)))
-        rows += [("entry", (first + at, term, command)) for at, (term, command) in enumerate(rest)]
-        self._save(rows, _Write(first, self.last), self.snap)
-
-    def _snap_row(self) -> tuple[str, tuple[object, ...]]:
-        return "snap", (self.snap, self.snap_term, self.state, self.base_members, self.start)
-
-    def _cut(self, index: int) -> None:
-        """Take back the entries from there on: they were never committed."""
-        assert index > self.commit, "a committed entry would be taken back"
-        del self.entries[index - self.start - 1 :]
-        del self.sizes[index - self.start - 1 :]
-        self.synced = min(self.synced, index - 1)
-        for write in self._writing:
-            write.last = min(write.last, index - 1)
-
     def _when_synced(self, index: int, act: Callable[[], None]) -> None:
         """Do something once the entries up to there are on disk, if this is still the same term then."""
         self._unsynced = [*self._unsynced, (index, self.term, act)][-WAITING:]
@@ -426,7 +308,7 @@
             now = self.world.now()
             for name in self.members:
                 if name != self.me and name not in self._peers:
-                    self._peers[name] = _Peer(max(1, self.start), heard=now)
+                    self._peers[name] = _Peer(max(1, self.log.start), heard=now)
             for name in set(self._peers) - set(self.members):
                 del self._peers[name]
 
@@ -512,8 +394,8 @@
         if waits and not beat:
             return
         before = peer.next - 1
-        entries = [] if waits or peer.silent else self._batch(before)
-        size = sum(self.sizes[before - self.start : before - self.start + len(entries)])
+        entries = [] if waits or peer.silent else self.log.batch(before)
+        size = self.log.size(before + 1, len(entries))
         body = {"prev": before, "prev_term": self.term_at(before), "entries": entries}
         upto = before + len(entries)
 
@@ -584,17 +466,6 @@
         peer.sending = None
         peer.next = max(1, min(peer.next - 1, said.get("last", 0) + 1))
 
-    def _batch(self, before: int) -> list[Entry]:
-        """What one message takes of the entries behind one: so many, of so many bytes."""
-        entries: list[Entry] = []
-        room, at = PART, before - self.start
-        for entry, size in islice(zip(self.entries, self.sizes, strict=True), at, at + BATCH):
-            if size > room:
-                break
-            entries.append(entry)
-            room -= size
-        return entries
-
     def _goes_in_parts(self, peer: _Peer) -> bool:
         """Whether the next thing a peer lacks goes in parts; one that was begun goes on to its end.
 
@@ -604,21 +475,21 @@
         if it is not None and it.whole.last >= peer.next:
             return True
         peer.sending = None
-        if peer.next <= self.start:
-            text = f'{{"state":{text_of(self.state)},"members":{text_of(self.base_members)}}}'
-            peer.sending = self._sending(peer, "snapshot", self.snap, self.snap_term, text)
-        elif peer.next <= self.last and self.sizes[peer.next - self.start - 1] > PART:
-            term, command = self.entries[peer.next - self.start - 1]
-            peer.sending = self._sending(peer, "entry", peer.next, term, command)
+        log = self.log
+        if peer.next <= log.start:
+            peer.sending = self._sending(peer, "snapshot", log.snap, log.snap_term, log.snapshot_text)
+        elif peer.next <= log.last and log.size(peer.next) > PART:
+            term = log.term_at(peer.next)
+            peer.sending = self._sending(peer, "entry", peer.next, term, partial(log.text, peer.next))
         return peer.sending is not None
 
-    def _sending(self, peer: _Peer, kind: str, last: int, term: int, value: Json | str | None) -> Sending:
+    def _sending(self, peer: _Peer, kind: str, last: int, term: int, text: Callable[[], str]) -> Sending:
         before = self.term_at(last - 1)
         for other in self._peers.values():  # what another one is sent need not be written down again
             it = other.sending
             if it is not None and (it.whole.kind, it.whole.last, it.whole.last_term) == (kind, last, term):
                 return Sending(it.whole, it.data, peer.pace, before)
-        data = (value if isinstance(value, str) else text_of(value)).encode()
+        data = text().encode()
         return Sending(whole_of(kind, last, term, data), data, peer.pace, before)
 
     def _send_parts(self, name: str, peer: _Peer) -> None:
@@ -666,47 +537,20 @@
                 self._step_down()
 
     def _apply_committed(self) -> None:
+        large = False
         while self.applied < self.commit:
             self.applied += 1
-            place = self.applied - self.start - 1
-            (term, command), said = self.entries[place], {}
-            self._since += self.sizes[place]
+            (term, command), said = self.log.entries[self.applied - self.log.start - 1], {}
+            large = self.log.applied(self.applied) or large
             if command is not None and "members" not in command:
                 said = self._apply(self.applied, command)
             while self._asked and self._asked[0][0] <= self.applied:
                 index, answered = self._asked.pop(0)
                 answered(Ok(said) if index == self.applied and term == self.term else Err(NotTaken.UNCLEAR))
-        if self.applied - self.snap >= COMPACT or self._since >= max(COMPACT_BYTES, self._snap_size):
-            self._compact()
+        if large:
+            self.log.compact(self.applied, self._snapshot())
         self._on_change()
 
-    def _compact(self) -> None:
-        """Make a snapshot, and cut the log to a tail before it for members that lack only a little."""
-        members = self._members_until(self.applied)
-        self.snap, self.snap_term, self.state = self.applied, self.term_at(self.applied), self._snapshot()
-        self.base_members, self._snap_size, self._since = members, len(text_of(self.state)), 0
-        keep, room = 0, TAIL_BYTES
-        while keep < min(TAIL, self.snap - self.start - 1):
-            room -= self.sizes[self.snap - self.start - keep - 1]
-            if room < 0:
-                break
-            keep += 1
-        base = self.snap - keep
-        self.start_term = self.term_at(base)
-        del self.entries[: base - self.start]
-        del self.sizes[: base - self.start]
-        self.start = base
-        # What is not on disk yet counts as being there once the snapshot is: a disk may refuse it.
-        self._save([self._snap_row()], _Write(self.snap + 1, self.snap), self.snap)
-
-    def _members_until(self, index: int) -> Json:
-        """The membership that holds at an entry of the log."""
-        members = self.base_members
-        for _, command in self.entries[: index - self.start]:
-            if command is not None and "members" in command:
-                members = command["members"]
-        return members
-
     # -- what a follower hears
 
     def _follow(self, body: Json) -> bool:
@@ -735,7 +579,7 @@
 
     def _fits(self, before: int, term: int, respond: Respond) -> bool:
         """Whether entries behind that one can be taken; the leader is told where not."""
-        if before < self.start or (before <= self.last and self.term_at(before) == term):
+        if before < self.log.start or (before <= self.last and self.term_at(before) == term):
             return True
         respond({"ok": False, "term": self.term, "last": min(self.last, before - 1)}, b"")
         return False
@@ -743,23 +587,21 @@
     def _take(self, before: int, entries: list[Entry], commit: int, respond: Respond) -> None:
         """Take what is new of the entries behind one that is here, and answer once all are on disk."""
         upto = before + len(entries)
-        if before < self.start:  # what the log no longer holds is committed and the same everywhere
-            entries = entries[self.start - before :]
-            before = self.start
+        start = self.log.start
+        if before < start:  # what the log no longer holds is committed and the same everywhere
+            entries = entries[start - before :]
+            before = start
         at = 0
         while (
             at < len(entries) and before + at < self.last and self.term_at(before + at + 1) == entries[at][0]
         ):
             at += 1
-        fresh, cut = entries[at:], 0
+        fresh = entries[at:]
         if fresh:
-            if before + at < self.last:
-                cut = before + at + 1
-                self._cut(cut)
-            self.entries += fresh
-            self.sizes += [len(text_of(command)) for _, command in fresh]
+            cut = before + at + 1 if before + at < self.last else 0
+            assert not cut or cut > self.commit, "a committed entry would be taken back"
+            self.log.append(fresh, cut)
             self._find_members()
-            self._save_entries(before + at + 1, fresh, cut)
         term = self.term
         self._when_synced(upto, lambda: respond({"ok": True, "term": term}, b""))
         self._commit_to(min(commit, upto))
@@ -808,22 +650,11 @@
     def _install(self, whole: Whole, snapshot: Json, respond: Respond) -> None:
         """Put a leader's snapshot in the place of all that it covers, its membership with it."""
         last = whole.last
-        keep = self.term_at(last) == whole.last_term
-        self.entries = self.entries[last - self.start :] if keep else []
-        self.sizes = self.sizes[last - self.start :] if keep else []
-        rows: list[tuple[str, tuple[object, ...]]] = [] if keep else [("cut", (1,))]
-        if not keep:
-            self.synced = min(self.synced, self.commit)
-            for write in self._writing:
-                write.last = min(write.last, self.commit)
-        self.start, self.start_term = last, whole.last_term
-        self.snap, self.snap_term, self.state = last, whole.last_term, snapshot["state"]
-        self.base_members, self._snap_size, self._since = snapshot["members"], whole.total, 0
+        self.log.install(last, whole.last_term, snapshot, self.commit, whole.total)
         self.commit = self.applied = last
-        if self.state is not None:
-            self._restore(self.state)
+        if snapshot["state"] is not None:
+            self._restore(snapshot["state"])
         self._find_members()
-        self._save([*rows, self._snap_row()], _Write(last + 1, last), last)
         term = self.term
         self._when_synced(last, lambda: respond({"ok": True, "term": term}, b""))
         self._on_change()
--- a/workshop/vise/shelf.py
+++ b/workshop/vise/shelf.py
@@ -11,7 +11,7 @@
 
 from workshop.chest.cabinet import Cabinet, Row, open_file
 from workshop.ports import Json
-from workshop.vise.agree import Saved, assemble
+from workshop.vise.log import Saved, assemble
 
 FORMAT = 1
 SCHEMA = """
