--- a/tests/workshop/test_news.py
+++ b/tests/workshop/test_news.py
@@ -2,6 +2,9 @@
 
 import json
 import random
+from functools import partial
+
+from result import Ok
 
 from workshop.jig.clock import Clock
 from workshop.jig.network import Host, Life, LifeWorld, Network
@@ -48,6 +51,23 @@
     assert (len(a.items), net.too_long) == (1030, 0)
 
 
+def test_small_words_do_not_wait_behind_all_pages() -> None:
+    clock, net, a, b = two()
+    net.hosts["b"].rate = 15e6 / 8
+    for number in range(60):
+        a.offer(f"{number}", [1], "x" * 100_000)
+    said: list[bool] = []
+    for at in range(30):  # 6 MB take 3.2 s
+        ask = partial(a.world.ask, "b", "news.digest", {"sum": f"{b.sum:x}"}, 0.4)
+        clock.later(1.0 + at * 0.1, partial(ask, lambda reply: said.append(isinstance(reply, Ok))))
+    clock.run(1.0)
+    a.compare_with("b")
+    clock.run(4.5)
+    assert (len(said), all(said)) == (30, True)
+    clock.run(8.0)
+    assert b.items == a.items
+
+
 def test_versions_are_compared_some_at_a_time(monkeypatch) -> None:  # type: ignore[no-untyped-def]
     monkeypatch.setattr(news, "VERSIONS", 7)
     clock, _, a, b = two()
--- a/workshop/whistle/news.py
+++ b/workshop/whistle/news.py
@@ -90,10 +90,19 @@
                 self.world.tell(to, "news.rumour", {"versions": dict(versions[at : at + VERSIONS])})
 
     def _send(self, to: str, items: list[Told]) -> None:
-        rest = items
-        while rest:
-            page, rest = self._page(rest)
+        """Tell another; several pages go one after another, so that beats do not wait behind all of them."""
+        if not items:
+            return
+        page, rest = self._page(items)
+        if not rest:
             self.world.tell(to, "news", {"items": page})
+            return
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            if isinstance(reply, Ok):  # else the next comparison finds what is missing
+                self._send(to, rest)
+
+        self.world.ask(to, "news", {"items": page}, FETCH_S, hear)
 
     def _page(self, items: list[Told]) -> tuple[list[Told], list[Told]]:
         """What goes into one message, at least one item, and the rest."""
@@ -130,6 +139,7 @@
     @on("news")
     def on_news(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
         self.take(body["items"])
+        respond({}, b"")
 
     def _compare(self) -> None:
         self.world.later(DIGEST_S, self._compare)
@@ -168,22 +178,26 @@
             if (key not in items or items[key][0] < version) and self._coming.get(key) != (to, version)
         ]
         self._coming |= {key: (to, theirs[key]) for key in gaps}
-        for at in range(0, len(gaps), PAGE):
-            self._want(to, gaps[at : at + PAGE])
+        self._want(to, gaps)
 
     def _want(self, to: str, keys: list[str]) -> None:
+        """Ask for items, some at a time."""
+        if not keys:
+            return
+        first, later = keys[:PAGE], keys[PAGE:]
+
         def take(reply: Result[Reply, Lost]) -> None:
-            for key in keys:
+            rest: list[str] = []
+            if isinstance(reply, Ok):
+                self.mended += self.take(reply.ok_value.body["items"])
+                rest = reply.ok_value.body.get("rest", [])
+                rest = (rest if len(rest) < len(first) else []) + later
+            for key in set(keys) - set(rest):
                 if self._coming.get(key, ("", []))[0] == to:
                     del self._coming[key]
-            if not isinstance(reply, Ok):
-                return
-            self.mended += self.take(reply.ok_value.body["items"])
-            rest = reply.ok_value.body.get("rest")
-            if rest and len(rest) < len(keys):
-                self._want(to, rest)
+            self._want(to, rest)
 
-        self.world.ask(to, "news.want", {"keys": keys}, FETCH_S, take)
+        self.world.ask(to, "news.want", {"keys": first}, FETCH_S, take)
 
     @on("news.rumour")
     def on_rumour(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
