--- a/tests/workshop/test_news.py
+++ b/tests/workshop/test_news.py
@@ -2,6 +2,9 @@
 
 import json
 import random
+from functools import partial
+
+from result import Ok
 
 from workshop.jig.clock import Clock
 from workshop.jig.network import Host, Life, LifeWorld, Network
@@ -13,13 +16,15 @@
 class Hearer:
     """One that tells and hears news."""
 
-    def __init__(self, net: Network, name: str, other: str) -> None:
+    def __init__(self, net: Network, name: str, other: str, known: tuple[str, ...] = ()) -> None:
         host = Host(name, "z", name)
         life = host.life = Life(host, 1, lambda life, error: None)
         life.machine = self
         net.hosts[name] = host
         world = LifeWorld(net, life, random.Random(name), 0.0)
-        self.news = News(world, lambda: [other], lambda key, value: None)
+        self.news = News(
+            world, lambda: [other], lambda key, value: None, to_all=bool(known), known_at=lambda to: known
+        )
         self.words = words_of(self.news)
 
     def broken(self, address: str) -> None:
@@ -46,6 +51,23 @@
     assert (len(a.items), net.too_long) == (1030, 0)
 
 
+def test_small_words_do_not_wait_behind_all_pages() -> None:
+    clock, net, a, b = two()
+    net.hosts["b"].rate = 15e6 / 8
+    for number in range(60):
+        a.offer(f"{number}", [1], "x" * 100_000)
+    said: list[bool] = []
+    for at in range(30):  # 6 MB take 3.2 s
+        ask = partial(a.world.ask, "b", "news.digest", {"sum": f"{b.sum:x}"}, 0.4)
+        clock.later(1.0 + at * 0.1, partial(ask, lambda reply: said.append(isinstance(reply, Ok))))
+    clock.run(1.0)
+    a.compare_with("b")
+    clock.run(4.5)
+    assert (len(said), all(said)) == (30, True)
+    clock.run(8.0)
+    assert b.items == a.items
+
+
 def test_versions_are_compared_some_at_a_time(monkeypatch) -> None:  # type: ignore[no-untyped-def]
     monkeypatch.setattr(news, "VERSIONS", 7)
     clock, _, a, b = two()
@@ -71,3 +93,17 @@
         assert len(page) == 1 or len(json.dumps(page)) < PAGE_BYTES * 1.1
         found += page
     assert found == a.everything()
+
+
+def test_what_the_other_has_of_its_own_is_neither_told_nor_asked_for() -> None:
+    clock = Clock()
+    net = Network(clock, random.Random(1), 0.0005)
+    a, b = (Hearer(net, *names, known=("config",)).news for names in (("a", "b"), ("b", "a")))
+    a.offer("config", [1], "x")
+    a.offer("other", [1], "y")
+    clock.run(0.5)
+    assert list(b.items) == ["other"]
+    b.compare_with("a")
+    a.compare_with("b")
+    clock.run(1.0)
+    assert list(b.items) == ["other"]
--- a/workshop/jig/mutants.py
+++ b/workshop/jig/mutants.py
@@ -12,7 +12,7 @@
 from workshop.crib.orders import Said, Say
 from workshop.crib.sessions import Session
 from workshop.hatch.routes import Routes
-from workshop.jig import faults_seats
+from workshop.jig import faults_frames, faults_seats
 from workshop.lathe import spread
 from workshop.lathe.message import Message
 from workshop.lathe.shards import Shards, Taken
@@ -23,7 +23,8 @@
 from workshop.machine.store import Store
 from workshop.ports import Called, Json, Lost, Reply
 from workshop.settings import Settings
-from workshop.vise.agree import Saved, Vise
+from workshop.vise.agree import Vise
+from workshop.vise.log import Saved
 from workshop.whistle.news import News
 
 Mutant = Callable[[], AbstractContextManager[Any]]
@@ -201,6 +202,7 @@
     "removed-counts": (_removed_counts, "footing"),
     "older-term": (_older_term, "core"),
     **faults_seats.FAULTS,
+    **faults_frames.FAULTS,
 }
 
 
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -17,8 +17,9 @@
 from workshop.machine.member import internal
 from workshop.ports import Disk, Json, Lost, Reply, Respond, World, on, words_of
 from workshop.settings import Settings
-from workshop.vise.agree import NotTaken, Role, Saved, Vise
+from workshop.vise.agree import NotTaken, Role, Vise
 from workshop.vise.book import SHARDS, Book, digest
+from workshop.vise.log import Saved
 from workshop.vise.seats import Seat, margin, next_step
 from workshop.vise.sharing import share_out
 from workshop.whistle.news import News
@@ -31,6 +32,7 @@
 ORDER_S = 0.9  # for an order to be carried out: callers wait a second
 JOIN_S = 0.3  # between a core machine's tries to be a member
 CONTACT_S = 1.2  # since a majority was last asked with success: longer than an election takes
+LARGE = ("config",)  # news that come from the log, and are large
 STORE = "storage"
 
 
@@ -58,7 +60,9 @@
     def __init__(self, world: World, settings: Settings, address: str, disk: Disk, saved: Saved) -> None:
         self.world, self.settings, self.address = world, settings, address
         self.book, self.sessions = Book(), Sessions()
-        self.news = News(world, self._others, lambda key, value: None, to_all=True)
+        self.news = News(
+            world, self._others, lambda key, value: None, to_all=True, known_at=self._known_at
+        )  # fmt: skip
         self.cell = Cell(world, self.news, settings.heartbeat_s)
         self.vise = Vise(
             world, disk, saved, self._apply, self.book.to_json, self.book.from_json, self._changed
@@ -138,6 +142,10 @@
     def _cores(self) -> list[str]:
         return [it["addr"] for name, it in self.vise.members.items() if name != self.vise.me]
 
+    def _known_at(self, to: str) -> tuple[str, ...]:
+        """What another core machine has by the log: told as news besides, it would hold up the beats."""
+        return LARGE if to in self._cores() else ()
+
     def _others(self) -> list[str]:
         return self._cores() + [it.address for it in self.sessions.own.values()] + self._without_session()
 
--- a/workshop/whistle/news.py
+++ b/workshop/whistle/news.py
@@ -9,7 +9,7 @@
 import hashlib
 import heapq
 import json
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any
 
 from result import Ok, Result
@@ -44,9 +44,11 @@
         heard: Callable[[str, Any], None],
         pass_on: int = PASS_ON,
         to_all: bool = False,
+        known_at: Callable[[str], Collection[str]] = lambda to: (),
     ) -> None:
         self.world, self._others, self._heard = world, others, heard
         self._pass_on, self._to_all = pass_on, to_all
+        self._known_at = known_at  # keys that another one has of its own, as this one does
         self.items: dict[str, Item] = {}
         self._sizes: dict[str, int] = {}  # of values that were paged
         self._coming: dict[str, tuple[str, Version]] = {}  # what was asked for, of whom
@@ -79,7 +81,8 @@
         others = self._others()
         if self._to_all:
             for to in others:
-                self._send(to, [(key, *item) for key, item in fresh.items()])
+                known = self._known_at(to)
+                self._send(to, [(key, *item) for key, item in fresh.items() if key not in known])
             return
         versions = [(key, item[0]) for key, item in fresh.items()]
         for to in self.world.chance.sample(others, min(len(others), self._pass_on)):
@@ -87,10 +90,19 @@
                 self.world.tell(to, "news.rumour", {"versions": dict(versions[at : at + VERSIONS])})
 
     def _send(self, to: str, items: list[Told]) -> None:
-        rest = items
-        while rest:
-            page, rest = self._page(rest)
+        """Tell another; several pages go one after another, so that beats do not wait behind all of them."""
+        if not items:
+            return
+        page, rest = self._page(items)
+        if not rest:
             self.world.tell(to, "news", {"items": page})
+            return
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            if isinstance(reply, Ok):  # else the next comparison finds what is missing
+                self._send(to, rest)
+
+        self.world.ask(to, "news", {"items": page}, FETCH_S, hear)
 
     def _page(self, items: list[Told]) -> tuple[list[Told], list[Told]]:
         """What goes into one message, at least one item, and the rest."""
@@ -127,6 +139,7 @@
     @on("news")
     def on_news(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
         self.take(body["items"])
+        respond({}, b"")
 
     def _compare(self) -> None:
         self.world.later(DIGEST_S, self._compare)
@@ -142,14 +155,15 @@
             if not isinstance(reply, Ok) or "versions" not in reply.ok_value.body:
                 return
             theirs, upto = reply.ok_value.body["versions"], reply.ok_value.body.get("next", "")
+            known = self._known_at(to)
             more = [
                 (key, *item)
                 for key, item in self.items.items()
-                if key > after and (not upto or key <= upto) and (key not in theirs or theirs[key] < item[0])
+                if after < key and (not upto or key <= upto) and key not in known
+                if key not in theirs or theirs[key] < item[0]
             ]
-            if more:
-                self._send(to, more)
-            self._fetch(to, theirs)
+            self._send(to, more)
+            self._fetch(to, {key: version for key, version in theirs.items() if key not in known})
             if upto:
                 self.compare_with(to, upto)
 
@@ -164,22 +178,26 @@
             if (key not in items or items[key][0] < version) and self._coming.get(key) != (to, version)
         ]
         self._coming |= {key: (to, theirs[key]) for key in gaps}
-        for at in range(0, len(gaps), PAGE):
-            self._want(to, gaps[at : at + PAGE])
+        self._want(to, gaps)
 
     def _want(self, to: str, keys: list[str]) -> None:
+        """Ask for items, some at a time."""
+        if not keys:
+            return
+        first, later = keys[:PAGE], keys[PAGE:]
+
         def take(reply: Result[Reply, Lost]) -> None:
-            for key in keys:
+            rest: list[str] = []
+            if isinstance(reply, Ok):
+                self.mended += self.take(reply.ok_value.body["items"])
+                rest = reply.ok_value.body.get("rest", [])
+                rest = (rest if len(rest) < len(first) else []) + later
+            for key in set(keys) - set(rest):
                 if self._coming.get(key, ("", []))[0] == to:
                     del self._coming[key]
-            if not isinstance(reply, Ok):
-                return
-            self.mended += self.take(reply.ok_value.body["items"])
-            rest = reply.ok_value.body.get("rest")
-            if rest and len(rest) < len(keys):
-                self._want(to, rest)
+            self._want(to, rest)
 
-        self.world.ask(to, "news.want", {"keys": keys}, FETCH_S, take)
+        self.world.ask(to, "news.want", {"keys": first}, FETCH_S, take)
 
     @on("news.rumour")
     def on_rumour(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
