--- a/tests/workshop/test_explore.py
+++ b/tests/workshop/test_explore.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from workshop.jig.explore import STARTS, FoundError, Play, Step, explore, old_self, stranger
+from workshop.jig.explore import CHANGES, STARTS, FoundError, Play, Step, explore, old_self, stranger
 from workshop.jig.mutants import mutated
 
 # As `python -m workshop.jig explore --mutant` tells them.
@@ -46,3 +46,26 @@
     for step in TAKEN_BACK[:2]:
         play.take(step)
     assert play.members["a"].vise.commit == 0
+
+
+@pytest.mark.parametrize("name", list(CHANGES))
+def test_changes_of_the_membership_hold(name: str) -> None:
+    start, depth = CHANGES[name]
+    it = explore(start, depth)
+    assert (it.found, it.whole) == ("", True)
+    assert it.states > 800
+
+
+@pytest.mark.parametrize(
+    ("mutant", "name", "said"),
+    [
+        ("learner-votes", "learner", "leads without the entry that was committed"),
+        ("removed-counts", "removed", "two leaders in term"),
+        ("removal-before-copy", "leaving", "is taken away and leaves 1 copies"),
+        ("two-at-once", "changes", "can be disjoint"),
+        ("snapshot-old-members", "snapshots", "members that were not the newest"),
+    ],
+)
+def test_a_fault_of_the_membership_is_found(mutant: str, name: str, said: str) -> None:
+    with mutated(mutant):
+        assert said in explore(*CHANGES[name]).found
--- a/workshop/jig/__main__.py
+++ b/workshop/jig/__main__.py
@@ -10,7 +10,7 @@
 from absl import logging
 
 from workshop.jig.days import Day
-from workshop.jig.explore import STARTS, explore, old_self, stranger
+from workshop.jig.explore import CHANGES, STARTS, explore, old_self, stranger
 from workshop.jig.hunt import hunt
 from workshop.jig.mutants import MUTANTS, mutated
 
@@ -64,13 +64,17 @@
 
 @main.command("explore")
 @click.option("--depth", default=7, help="Steps from each start.")
+@click.option("--only", default="", help="The one start to look from.")
 @MUTANT
-def explore_all(depth: int, mutant: str) -> None:
+def explore_all(depth: int, only: str, mutant: str) -> None:
     """Look at all interleavings of the core's agreement to some depth."""
     logging.set_verbosity(logging.FATAL)
     bad = 0
     blank = old_self if mutant == "old-vote" else stranger
-    for name, start in STARTS.items():
+    starts = STARTS | {name: start for name, (start, _) in CHANGES.items()}
+    for name, start in starts.items():
+        if only not in ("", name):
+            continue
         with mutated(mutant):
             it = explore(start, depth, blank)
         bad += bool(it.found)
--- a/workshop/jig/faults_seats.py
+++ b/workshop/jig/faults_seats.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
-from contextlib import AbstractContextManager
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import AbstractContextManager, contextmanager
 from typing import Any
 from unittest.mock import patch
 
+from workshop.ports import Json
 from workshop.settings import Tolerance
 from workshop.vise import seats
+from workshop.vise.agree import Answered, Vise
 from workshop.vise.seats import Seat
 
 
@@ -23,6 +25,59 @@
     return patch.object(seats, "best", by_name)
 
 
+@contextmanager
+def _learner_votes() -> Iterator[None]:
+    """A learner's word counts as a voter's does, both for an election and for an entry."""
+
+    def majority(self: Vise, names: set[str]) -> bool:
+        return 2 * sum(1 for it in self.members if it in names) > len(self.voters)
+
+    def count(self: Vise) -> None:
+        matched = {name: it.match for name, it in self._peers.items()} | {self.me: self.synced}
+        levels = sorted((matched.get(name, 0) for name in self.members), reverse=True)
+        index = levels[len(self.voters) // 2]
+        if index > self.commit and self.term_at(index) == self.term:
+            self.commit = index
+            self._apply_committed()
+            self._push(True)
+
+    with patch.object(Vise, "_majority", majority), patch.object(Vise, "_count", count):
+        yield
+
+
+def _any_change(self: Vise, members: Json, answered: Answered) -> None:
+    self.propose({"members": members}, answered)
+
+
+@contextmanager
+def _removal_before_copy() -> Iterator[None]:
+    """A member is removed as soon as its leader has written that down, whoever has its state."""
+    agreed = patch.object(Vise, "settled", property(lambda self: True))
+    with agreed, patch.object(Vise, "change_members", _any_change):
+        yield
+
+
+def _two_at_once() -> AbstractContextManager[Any]:
+    """A second change of the membership is begun before the first is committed."""
+    return patch.object(Vise, "change_members", _any_change)
+
+
+def _snapshot_old_members() -> AbstractContextManager[Any]:
+    """A snapshot loses the last membership that it covers."""
+    compact = Vise._compact
+
+    def forget(self: Vise) -> None:
+        members = self.base_members
+        compact(self)
+        self.base_members = members
+
+    return patch.object(Vise, "_compact", forget)
+
+
 FAULTS: Mapping[str, tuple[Callable[[], AbstractContextManager[Any]], str]] = {
     "voters-in-one-zone": (_voters_in_one_zone, "footing"),
+    "learner-votes": (_learner_votes, "footing"),
+    "removal-before-copy": (_removal_before_copy, "footing"),
+    "two-at-once": (_two_at_once, "footing"),
+    "snapshot-old-members": (_snapshot_old_members, "footing"),
 }
