Tell a core folder that was put back from one that was away

A folder of an hour ago put back under a core machine was taken for one of a machine that had been away: it voted as the member that had acknowledged since what it no longer held. With another follower that lags, it elected a leader without an acknowledged entry (seen in the new test with the check taken out: the entry is gone).

Each member keeps floors: up to which committed entry each other one is known to have acknowledged the log. What is committed is never taken back, so a log that ends below its floor was put back; one that was away never does. A leader tells a member's floor with each message and all floors as they rise, a request for a vote tells it too, and a member that starts asks the other voters and neither votes nor stands before as many answer as make a majority with it, or a leader is heard. Floors are on disk at most 5 s late, for when all lose power. Who is told that it has less goes on with an empty log as another incarnation, in the same process, and is let in and given a vote like a machine that has lost its disk.

What remains: a copy of the folder taken after the last entry that the member acknowledged, but before a vote that it cast since (no entry followed: its candidate was not elected or never heard); and a folder put back at one time with another loss, where the voters that answer have not heard from the leader since it counted the acknowledgement (half a second, 5 s if all lost power).

The mutant old-vote is masked by this second defence, which tells an emptied voter under its old name what it had; the mutant now takes both away, as what it claims needs. New: put-back-votes.

--- /dev/null
+++ b/tests/workshop/test_floors.py
@@ -0,0 +1,147 @@
+"""A core machine's folder that is put back as it was before, against one that was away."""
+
+from collections.abc import Callable, Iterator
+from copy import deepcopy
+from functools import partial
+from pathlib import Path
+
+import pytest
+from absl import logging
+
+from workshop.jig.deployment import BOUNDS, Deployment, Machine
+from workshop.jig.mutants import mutated
+from workshop.vise.agree import Saved
+from workshop.vise.shelf import open_shelf
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    """Machines' logs tell nothing here."""
+    before = logging.get_verbosity()
+    logging.set_verbosity(logging.FATAL)
+    yield
+    logging.set_verbosity(before)
+
+
+class Core:
+    """Three core machines, and what they were told of endpoints that leave."""
+
+    def __init__(self) -> None:
+        self.deployment = Deployment(3, 3, 0, 0, 3, [], 1.0)
+        for machine in self.deployment.cores:
+            machine.start()
+        self.run(4.0)
+        self.taken: list[str] = []
+
+    def run(self, seconds: float) -> None:
+        self.deployment.clock.run(self.deployment.clock.now + seconds)
+
+    def leader(self, *among: Machine) -> Machine | None:
+        machines = among or self.deployment.cores
+        return next((it for it in machines if it.up and it.part.vise.leader == it.part.vise.me), None)
+
+    def change(self) -> None:
+        """Have an entry taken, and heard of by all who are in touch."""
+        leader = self.leader()
+        assert leader is not None
+        assert leader.life is not None
+        name = f"e{len(self.taken)}"
+        leader.life.do(
+            lambda: leader.part.vise.propose({"do": "drain", "ids": [[name, 1, 0]]}, lambda result: None)
+        )
+        self.run(0.3)
+        assert name in leader.part.book.drains
+        self.taken.append(name)
+
+    def folder(self, machine: Machine) -> Callable[[], None]:
+        """What puts a machine's folder back as it is now."""
+        disk = machine.disk
+        kept = {key: deepcopy(value) for key, value in vars(disk).items() if key in ("_saved", "_rows")}
+        return lambda: vars(disk).update(deepcopy(kept))
+
+    def lost(self, leader: Machine) -> list[str]:
+        return [it for it in self.taken if it not in leader.part.book.drains]
+
+
+def put_back_beside_one_that_lags() -> list[str]:
+    """One follower lags, and another one is put back while the leader is cut off: what is lost then."""
+    core = Core()
+    leader = core.leader()
+    assert leader is not None
+    lags, back = (it for it in core.deployment.cores if it is not leader)
+    put_back = core.folder(back)
+    core.change()
+    core.run(1.0)
+    core.deployment.net.cut({(leader.name, lags.name), (lags.name, leader.name)})
+    core.change()
+    back.power_off()
+    put_back()
+    core.deployment.net.cut({(leader.name, back.name), (back.name, leader.name)})
+    back.start()
+    core.run(4.0)
+    newer = core.leader(lags, back)
+    return [] if newer is None else core.lost(newer)
+
+
+def test_one_that_was_put_back_helps_elect_nobody() -> None:
+    assert put_back_beside_one_that_lags() == []
+    with mutated("put-back-votes"):
+        assert put_back_beside_one_that_lags() == ["e1"]
+
+
+@pytest.mark.parametrize("which", ["leader", "follower"])
+def test_one_that_was_put_back_comes_as_another_and_one_that_was_away_as_itself(which: str) -> None:
+    core = Core()
+    leader = core.leader()
+    machine = next(it for it in core.deployment.cores if (it is leader) == (which == "leader"))
+    me, put_back = machine.part.vise.me, core.folder(machine)
+    for _ in range(3):
+        core.change()
+    machine.power_off()
+    core.run(2.0)
+    for _ in range(3):
+        core.change()
+    machine.start()
+    core.run(BOUNDS["catchUpS"])
+    assert (machine.part.vise.me, core.lost(machine)) == (me, [])
+    machine.power_off()
+    put_back()
+    machine.start()
+    core.run(BOUNDS["catchUpS"])
+    vise = machine.part.vise
+    assert vise.me != me
+    assert vise.voting
+    assert me not in vise.members
+    assert core.lost(machine) == []
+
+
+def test_all_lose_power_and_one_is_put_back() -> None:
+    for at in range(3):
+        core = Core()
+        back = core.deployment.cores[at]
+        put_back = core.folder(back)
+        for _ in range(10):
+            core.change()
+        core.run(6.0)
+        for machine in core.deployment.cores:
+            machine.power_off()
+        put_back()
+        for machine in core.deployment.cores:
+            machine.start()
+        core.run(BOUNDS["catchUpS"])
+        leader = core.leader()
+        assert leader is not None
+        assert core.lost(leader) == []
+        assert not back.part.vise.me.endswith("/0")
+
+
+def test_a_folder_that_is_begun_anew_holds_nothing(tmp_path: Path) -> None:
+    did: list[Callable[[], None]] = []
+    said: list[str | None] = []
+    saved, shelf, _ = open_shelf(tmp_path, lambda: Saved("ip/0", members={"ip/0": {}}), did.append)
+    rows = [("term", (3, "x")), ("entry", (1, 3, None)), ("floors", ({"ip/0": 1},)), ("anew", ("ip/1",))]
+    shelf.write(rows, said.append)
+    shelf.close()
+    saved, shelf, anew = open_shelf(tmp_path, partial(Saved, "ip/2"), did.append)
+    shelf.close()
+    assert (saved, anew) == (Saved("ip/1"), False)
--- a/workshop/jig/disk.py
+++ b/workshop/jig/disk.py
@@ -106,7 +106,8 @@
         text = json.dumps([it.state, it.members, it.entries])
         state, members, entries = json.loads(text)
         pairs = [(row[0], row[1]) for row in entries]
-        return Saved(it.me, it.term, it.vote, it.start, it.start_term, state, members, pairs)
+        floors = dict(it.floors)
+        return Saved(it.me, it.term, it.vote, it.start, it.start_term, state, members, pairs, floors)
 
     def wipe(self) -> None:
         self._saved, self._gap = None, False
@@ -119,6 +120,10 @@
         assert saved is not None, "a disk is begun before it is written to"
         if kind == "term":
             saved.term, saved.vote = values
+        elif kind == "floors":
+            saved.floors = values[0]
+        elif kind == "anew":
+            self._saved = Saved(values[0])
         elif kind == "cut":
             del saved.entries[max(0, values[0] - saved.start - 1) :]
             self._gap &= values[0] > saved.start + len(saved.entries) + 1
--- a/workshop/jig/explore.py
+++ b/workshop/jig/explore.py
@@ -432,6 +432,8 @@
 def _keep(saved: Saved, kind: str, values: tuple[Any, ...]) -> None:
     if kind == "term":
         saved.term, saved.vote = values
+    elif kind == "floors":
+        saved.floors = values[0]
     elif kind == "cut":
         del saved.entries[values[0] - saved.start - 1 :]
     elif kind == "snap":
--- a/workshop/jig/faults_seats.py
+++ b/workshop/jig/faults_seats.py
@@ -11,6 +11,7 @@
 from workshop.settings import Tolerance
 from workshop.vise import seats
 from workshop.vise.agree import Answered, Vise
+from workshop.vise.floors import Floors
 from workshop.vise.seats import Seat
 
 
@@ -74,10 +75,16 @@
     return patch.object(Vise, "_compact", forget)
 
 
+def _put_back_votes() -> AbstractContextManager[Any]:
+    """A member whose folder was put back goes on as the one it was."""
+    return patch.object(Floors, "short", lambda self, said: False)
+
+
 FAULTS: Mapping[str, tuple[Callable[[], AbstractContextManager[Any]], str]] = {
     "voters-in-one-zone": (_voters_in_one_zone, "footing"),
     "learner-votes": (_learner_votes, "footing"),
     "removal-before-copy": (_removal_before_copy, "footing"),
     "two-at-once": (_two_at_once, "footing"),
+    "put-back-votes": (_put_back_votes, "footing"),
     "snapshot-old-members": (_snapshot_old_members, "footing"),
 }
--- a/workshop/jig/mutants.py
+++ b/workshop/jig/mutants.py
@@ -24,6 +24,7 @@
 from workshop.ports import Called, Json, Lost, Reply
 from workshop.settings import Settings
 from workshop.vise.agree import Saved, Vise
+from workshop.vise.floors import Floors
 from workshop.whistle.news import News
 
 Mutant = Callable[[], AbstractContextManager[Any]]
@@ -44,12 +45,13 @@
 
 
 def _old_vote() -> AbstractContextManager[Any]:
-    """A wiped voter votes as its old self."""
+    """A wiped voter votes as its old self, and nobody tells it what it had."""
 
     def blank(settings: Settings, chance: Callable[[int], int]) -> Saved:
         return Saved(f"{settings.ip}/0", members=core.founding(settings))
 
-    return patch("workshop.jig.deployment.blank", blank)
+    untold = patch.object(Floors, "short", lambda self, said: False)
+    return _both(patch("workshop.jig.deployment.blank", blank), untold)
 
 
 def _no_fence() -> AbstractContextManager[Any]:
--- a/workshop/vise/agree.py
+++ b/workshop/vise/agree.py
@@ -12,9 +12,11 @@
 from enum import Enum
 from functools import partial
 
+from absl import logging
 from result import Err, Ok, Result
 
 from workshop.ports import Disk, Handle, Json, Lost, Reply, Respond, World, on
+from workshop.vise.floors import Floors
 
 BEAT_S = 0.1  # between a leader's messages to a member
 FIRST_S = (0.05, 0.3)  # the same right after a start, when nobody was heard yet
@@ -53,6 +55,7 @@
     state: Json | None = None
     members: Json = field(default_factory=dict)
     entries: list[Entry] = field(default_factory=list)
+    floors: Json = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -105,6 +108,8 @@
         self._timer: Handle | None = None
         self._stopped = False
         self._refused = False  # whether the disk has refused entries that are not written again yet
+        self.floors = Floors(self, saved.floors)
+        self._blank = dict(snapshot())  # what it is before anything is applied
         if self.state is not None:
             restore(self.state)
         self._find_members()
@@ -146,7 +151,50 @@
     def begin(self) -> None:
         """Start the clockwork."""
         self.heard = -1e9  # no leader was heard in this life: after a loss of all, waiting for one is idle
-        self._after(self.world.chance.uniform(*FIRST_S), self._stand)
+        self.floors.cleared = False
+        self.stand_soon()
+        self.floors.ask()
+
+    def stand_soon(self) -> None:
+        """Stand for election before long, unless a leader is heard."""
+        if self.leader == "":
+            self._after(self.world.chance.uniform(*FIRST_S), self._stand)
+
+    def start_anew(self) -> None:
+        """The folder was put back: its log ends before what this member once acknowledged.
+
+        Nobody knows what else it forgot, so its vote is worth nothing: it goes on with an empty log as
+        another incarnation, which has to be let in, like a machine that has lost its disk.
+        """
+        if self._stopped:
+            return
+        me = f"{self.me.rpartition('/')[0]}/{self.world.chance.getrandbits(48):x}"
+        logging.warning("%s has less on disk than it acknowledged: it goes on as %s", self.me, me)
+        self._step_down()
+        self.stop()
+        blank, life = self._blank, (self._apply, self._snapshot, self._restore, self._on_change)
+
+        def done(error: str | None) -> None:
+            if error is not None:
+                self.world.later(BEAT_S, write)
+                return
+            self._restore(blank)
+            Vise.__init__(self, self.world, self.disk, Saved(me), *life)
+            self._on_change()
+            self.begin()
+
+        def write() -> None:
+            self.disk.write([("anew", (me,))], done)
+
+        write()
+
+    @on("vise.floor")
+    def on_floor(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        """Tell a member that has just started what is known to have been on its disk."""
+        if body["to"] == self.me and not self._stopped:
+            respond({"floor": self.floors.known.get(body["of"], 0)}, b"")
+        else:
+            respond({}, b"")
 
     def stop(self) -> None:
         self._stopped = True
@@ -164,7 +212,7 @@
 
     def _stand(self) -> None:
         """No leader was heard: ask whether an election would be won, then hold it."""
-        if not self.voting:
+        if not self.voting or not self.floors.cleared:
             self._rest()
             return
         if self.role is Role.LEADER or self.world.now() - self.heard < ELECTION_S[0]:
@@ -202,8 +250,9 @@
 
         for name in self.voters:
             if name != self.me:
-                to = self.members[name]["addr"]
-                self.world.ask(to, "vise.vote", {**body, "to": name}, ANSWER_S, partial(hear, name))
+                to, floor = self.members[name]["addr"], self.floors.known.get(name, 0)
+                asked = {**body, "to": name, "floor": floor}
+                self.world.ask(to, "vise.vote", asked, ANSWER_S, partial(hear, name))
         count()
 
     def _hold(self, term: int, forced: bool = False) -> None:
@@ -250,7 +299,10 @@
     @on("vise.vote")
     def on_vote(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
         term, trial = body["term"], body["trial"]
-        if body.get("to") != self.me or self._stopped:
+        mine = body.get("to") == self.me and not self._stopped
+        if mine and self.floors.short(body):
+            self.start_anew()
+        if not mine or self._stopped or not self.floors.cleared:
             # Guards against a vote that was cast by the one who was here before: it is not known any more.
             respond({"yes": False, "term": 0}, b"")
             return
@@ -381,6 +433,8 @@
         if not self._majority(heard):
             self._step_down()
             return
+        matched = {name: it.match for name, it in self._peers.items()} | {self.me: self.synced}
+        self.floors.note(matched, self.commit)
         self._push(True)
         self._after(BEAT_S, self._beat)
 
@@ -397,6 +451,7 @@
         peer.out, peer.out_at = self._numbers, now
         number, term, asked_round = self._numbers, self.term, self._round
         body: Json = {"term": term, "me": self.me, "to": name, "commit": self.commit}
+        body |= self.floors.said_to(name)
         if peer.next <= self.start:
             word, upto = "vise.snap", self.start
             body |= {
@@ -486,6 +541,10 @@
             return False
         if body["term"] < self.term:
             return False
+        if self.floors.short(body):
+            self.start_anew()
+            return False
+        self.floors.cleared = True
         self._see_term(body["term"])
         assert self.role is not Role.LEADER, "two leaders in one term"
         changed = self.leader != body["me"] or self.role is not Role.FOLLOWER
@@ -498,7 +557,8 @@
     @on("vise.append")
     def on_append(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
         if not self._follow(body):
-            respond({"ok": False, "term": self.term, "stranger": body.get("to") != self.me}, b"")
+            stranger = body.get("to") != self.me or self._stopped
+            respond({"ok": False, "term": self.term, "stranger": stranger}, b"")
             return
         before, entries = body["prev"], [(it[0], it[1]) for it in body["entries"]]
         if before < self.start:  # what the snapshot covers is committed and the same everywhere
@@ -543,7 +603,8 @@
     @on("vise.snap")
     def on_snap(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
         if not self._follow(body):
-            respond({"ok": False, "term": self.term, "stranger": body.get("to") != self.me}, b"")
+            stranger = body.get("to") != self.me or self._stopped
+            respond({"ok": False, "term": self.term, "stranger": stranger}, b"")
             return
         last = body["last"]
         if last <= self.commit:
--- a/workshop/vise/shelf.py
+++ b/workshop/vise/shelf.py
@@ -37,6 +37,13 @@
             )
         elif kind == "term":
             _put(base, "term", values)
+        elif kind == "floors":
+            _put(base, "floors", *values)
+        elif kind == "anew":
+            base.execute("delete from log")
+            base.execute("delete from state where name in ('term', 'floors')")
+            _put(base, "me", *values)
+            _put(base, "snap", {"start": 0, "term": 0, "state": None, "members": {}})
         elif kind == "cut":
             base.execute("delete from log where at >= ?", values)
         elif kind == "snap":
@@ -64,6 +71,7 @@
     term, vote = state.get("term", (0, ""))
     snap = state["snap"]
     saved = Saved(state["me"], term, vote, snap["start"], snap["term"], snap["state"], snap["members"])
+    saved.floors = state.get("floors", {})
     for at, term_of, text, total in base.execute("select at, term, command, sum from log order by at"):
         if at != saved.start + len(saved.entries) + 1 or _sum(at, term_of, text) != total:
             return None
