Keep hashes of changes and endpoints that leave by time, and refuse no repeat that is too old

The book has a time now: the sum of the seconds that its leaders led before their commands (steady clocks; a clock that steps moves nothing, a change of leader only makes it late). Hashes are kept for an hour, of the newest 1,024 changes longer, of 16,384 at most; a repeat on an older base whose hash may be forgotten is answered 503, never 412 or 400: it may have been taken. Endpoints that are gone are kept for 10 minutes (calls take a second, and no later life has their ids), those that are leaving and never say that they have gone for an hour, whatever their number. A change of them no longer copies all, nor does each applied entry walk through all.

--- a/tests/workshop/test_floors.py
+++ b/tests/workshop/test_floors.py
@@ -50,7 +50,7 @@
             lambda: leader.part.vise.propose({"do": "drain", "ids": [[name, 1, 0]]}, lambda result: None)
         )
         self.run(0.3)
-        assert name in leader.part.book.drains
+        assert name in leader.part.book.leaving
         self.taken.append(name)
 
     def folder(self, machine: Machine) -> Callable[[], None]:
@@ -60,7 +60,7 @@
         return lambda: vars(disk).update(deepcopy(kept))
 
     def lost(self, leader: Machine) -> list[str]:
-        return [it for it in self.taken if it not in leader.part.book.drains]
+        return [it for it in self.taken if it not in leader.part.book.leaving]
 
 
 def put_back_beside_one_that_lags() -> list[str]:
--- a/workshop/jig/faults_seats.py
+++ b/workshop/jig/faults_seats.py
@@ -9,7 +9,7 @@
 
 from workshop.ports import Json
 from workshop.settings import Tolerance
-from workshop.vise import seats
+from workshop.vise import book, seats
 from workshop.vise.agree import Answered, Vise
 from workshop.vise.floors import Floors
 from workshop.vise.seats import Seat
@@ -80,11 +80,17 @@
     return patch.object(Floors, "short", lambda self, said: False)
 
 
+def _editions_by_count() -> AbstractContextManager[Any]:
+    """The hashes of the newest 256 changes are kept, and no others."""
+    return patch.object(book, "EDITIONS", (256, 256))
+
+
 FAULTS: Mapping[str, tuple[Callable[[], AbstractContextManager[Any]], str]] = {
     "voters-in-one-zone": (_voters_in_one_zone, "footing"),
     "learner-votes": (_learner_votes, "footing"),
     "removal-before-copy": (_removal_before_copy, "footing"),
     "two-at-once": (_two_at_once, "footing"),
     "put-back-votes": (_put_back_votes, "footing"),
+    "editions-by-count": (_editions_by_count, "config"),
     "snapshot-old-members": (_snapshot_old_members, "footing"),
 }
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -68,6 +68,7 @@
         self.counts: dict[str, int] = {}
         self._led = ""
         self._busy: set[str] = set()  # duties under way
+        self._aged_at = 0.0
         self._committed = 0  # what was committed at the last look at the members
         self._short = False  # whether too few voters would be left after a loss
         self._missing: dict[str, float] = {}  # when an owner was first seen without a session
@@ -107,7 +108,7 @@
             offer("roster", [book.roster_at], book.roster)
         if self.vise.members_at <= self.vise.commit:
             offer("cores", [self.vise.members_at], self.vise.members)
-        for name, (rank, sequence) in book.drains.items():
+        for name, (rank, sequence) in book.untold().items():
             known = self.cell.known(name)
             if known is None or known[0] < [rank, sequence, 0]:
                 self.cell.leaves(name, rank, sequence, None)
@@ -455,7 +456,7 @@
         if word == "retire":
             self._carry_retire(body["name"], then)
         elif word == "drain":
-            self.vise.propose({"do": "drain", "ids": body["ids"]}, then)
+            self.vise.propose(self._aged({"do": "drain", "ids": body["ids"]}), then)
         elif word == "read":
 
             def give(index: int | None) -> None:
@@ -468,6 +469,12 @@
         else:
             self._carry_config(word, body, then)
 
+    def _aged(self, command: Json) -> Json:
+        """A command that has the book's time go on by what passed while this machine led."""
+        now, since = self.world.now(), max(self._aged_at, self.vise.led_since)
+        self._aged_at = now
+        return {**command, "after": round(now - since, 3)}
+
     def _carry_retire(self, name: str, then: Callable[[Result[Json, NotTaken]], None]) -> None:
         rest = {disk: it for disk, it in self.book.roster.items() if it["name"] != name}
         if len(rest) < len(self.book.roster) and not self._hold(rest):
@@ -483,7 +490,7 @@
         if said.get("again"):
             then(Ok(said))
             return
-        if "status" in said and said["status"] == 412:
+        if said.get("status") in (412, 503):
             then(Ok(said))
             return
         whole = changed(self.book.config, text) if word == "modify" else Ok(text)
@@ -494,7 +501,7 @@
             return
         assert isinstance(whole, Ok)
         command = {"do": "config", "base": base, "edition": edition, "sum": sum_, "config": whole.ok_value}
-        self.vise.propose(command, then)
+        self.vise.propose(self._aged(command), then)
 
     def _config(self, word: str, asked: Asked, say: Say) -> None:
         data = parse(asked.body)
@@ -635,8 +642,7 @@
 
     def _leave(self, name: str, rank: int, sequence: int, said: Json | None, say: Say) -> None:
         """Tell all at once, and acknowledge once a majority holds it: a lost machine can't take it along."""
-        known = self.book.drains.get(name)
-        if known is not None and known[0] >= rank:
+        if self.book.drained(name)[0] >= rank:
             say(Said(200, {}))
             return
         self.cell.leaves(name, rank, sequence, said)
--- a/workshop/vise/book.py
+++ b/workshop/vise/book.py
@@ -1,4 +1,8 @@
-"""What core machines agree on, as a state machine over their log: every member applies the same commands."""
+"""What core machines agree on, as a state machine over their log: every member applies the same commands.
+
+Its time is the sum of the seconds that leaders led before their commands: it goes on alike everywhere, no
+clock that steps moves it, and with each new leader it falls behind: what is kept for a time is kept longer.
+"""
 
 from __future__ import annotations
 
@@ -8,8 +12,14 @@
 from workshop.ports import Json
 
 SHARDS = 256  # pieces that all messages are cut into by key; more than any deployment has edges
-EDITIONS = 256  # editions whose hash is kept, to know a call that comes again
-DRAINS = 4096  # endpoints kept that are leaving or gone
+EDITIONS_S = 3600.0  # the hash of each change is kept so long, to know a call that comes again,
+EDITIONS = 1024, 16384  # and of the newest ones longer, and of more than that none at all
+GONE_S = (
+    600.0  # endpoints that have gone are kept so long: calls take a second, and no later life has their ids
+)
+LEAVING_S = 3600.0  # those that are leaving and don't say that they have gone
+
+LEAVING, GONE = 1, 2  # ranks of endpoints
 
 
 def digest(config: Json) -> str:
@@ -17,6 +27,19 @@
     return hashlib.blake2b(json.dumps(config, sort_keys=True).encode(), digest_size=12).hexdigest()
 
 
+def _as_now(data: Json) -> Json:
+    """A snapshot of an earlier version, which knew no time: all is as of its start."""
+    if "drains" not in data:
+        return data
+    drains = data["drains"].items()
+    return data | {
+        "hashes": {key: (sum_, 0.0) for key, sum_ in data["hashes"].items()},
+        "leaving": {name: (0.0, sequence) for name, (rank, sequence) in drains if rank == LEAVING},
+        "gone": {name: (0.0, sequence) for name, (rank, sequence) in drains if rank == GONE},
+        "forgotten": min(map(int, data["hashes"]), default=1) - 1,
+    }
+
+
 class Book:
     """The agreed state: configuration, roster of stores, owners of shards, endpoints that leave."""
 
@@ -25,7 +48,9 @@
         self.edition = 0
         self.config: Json | None = None
         self.config_at = 0
-        self.hashes: dict[int, str] = {}
+        self.now = 0.0  # seconds
+        self.hashes: dict[int, tuple[str, float]] = {}  # by edition: the call's hash, and when it was taken
+        self.forgotten = 0  # the newest edition whose hash is kept no longer
         self.roster: Json = {}  # by disk: name, addr, zone, region, state, at (of its state)
         self.roster_at = 0
         self.retired: Json = {}  # stores that were to be emptied: in_progress or completed
@@ -34,28 +59,48 @@
             list[object]
         ] = []  # by number: owner's id, epoch, the owner before where it still lives
         self.shards_at = 0
-        self.drains: dict[str, list[int]] = {}  # endpoint's id -> rank (1 draining, 2 gone), sequence
+        # Endpoints that are leaving, and those that have gone: when, and their sequence; the oldest first.
+        self.leaving: dict[str, tuple[float, int]] = {}
+        self.gone: dict[str, tuple[float, int]] = {}
         self.drains_at = 0
+        self._untold: dict[str, tuple[int, int]] = {}
 
     def to_json(self) -> Json:
-        return {**vars(self), "hashes": {str(key): it for key, it in self.hashes.items()}}
+        own = {name: value for name, value in vars(self).items() if not name.startswith("_")}
+        return own | {
+            "hashes": {str(key): it for key, it in self.hashes.items()},
+            "leaving": dict(self.leaving),
+            "gone": dict(self.gone),
+        }
 
     def from_json(self, data: Json) -> None:
+        data = _as_now(data)
         for name in vars(self):
             if name in data:
                 setattr(self, name, data[name])
-        self.hashes = {int(key): it for key, it in self.hashes.items()}
+        self.hashes = {int(key): (it[0], it[1]) for key, it in self.hashes.items()}
+        self.leaving = {name: (it[0], it[1]) for name, it in self.leaving.items()}
+        self.gone = {name: (it[0], it[1]) for name, it in self.gone.items()}
+        self._untold = {name: (LEAVING, sequence) for name, (_, sequence) in self.leaving.items()}
+        self._untold |= {name: (GONE, sequence) for name, (_, sequence) in self.gone.items()}
 
     def apply(self, index: int, command: Json) -> Json:
         """Apply a committed command; what it says is the answer to who proposed it."""
         self.index = index
+        self.now += max(0.0, command.get("after", 0.0))
         said: Json = getattr(self, "_" + command["do"])(index, command)
         return said
 
     def check_config(self, base: int, edition: int, sum_: str) -> Json:
-        """What would be answered to a configuration now; `{"ok": true}` where it would be taken."""
-        if self.hashes.get(edition) == sum_:
+        """What would be answered to a configuration now; `{"ok": true}` where it would be taken.
+
+        A call whose hash may have been forgotten is left without a clear answer: it may have been taken. One
+        on top of the newest edition was not, whatever its number.
+        """
+        if self.hashes.get(edition, ("", 0.0))[0] == sum_:
             return {"again": True}
+        if base != self.edition and edition <= self.forgotten:
+            return {"status": 503, "cause": f"edition {edition} is too old to tell whether it was this one"}
         if base != self.edition:
             return {"status": 412, "cause": f"edition {self.edition} is in place, not {base}"}
         if edition <= self.edition:
@@ -66,9 +111,13 @@
         said = self.check_config(command["base"], command["edition"], command["sum"])
         if "ok" in said:
             self.edition, self.config, self.config_at = command["edition"], command["config"], index
-            self.hashes[self.edition] = command["sum"]
-            while len(self.hashes) > EDITIONS:
-                del self.hashes[min(self.hashes)]
+            self.hashes[self.edition] = command["sum"], self.now
+            while (kept := len(self.hashes)) > EDITIONS[0]:
+                edition, (_, at) = next(iter(self.hashes.items()))
+                if kept <= EDITIONS[1] and self.now - at <= EDITIONS_S:
+                    break
+                del self.hashes[edition]
+                self.forgotten = edition
         return said
 
     def _roster(self, index: int, command: Json) -> Json:
@@ -110,10 +159,26 @@
 
     def _drain(self, index: int, command: Json) -> Json:
         """Endpoints leave or have left: it is never taken back."""
-        drains = dict(self.drains)
         for name, rank, sequence in command["ids"]:
-            drains[name] = list(max(drains.get(name, [0, 0]), [rank, sequence]))
-        while len(drains) > DRAINS:
-            del drains[next(iter(drains))]
-        self.drains, self.drains_at = drains, index
+            if self.drained(name) >= (rank, sequence):
+                continue
+            self.leaving.pop(name, None)
+            self.gone.pop(name, None)
+            (self.gone if rank == GONE else self.leaving)[name] = self.now, sequence
+            self._untold[name] = rank, sequence
+        for kept, seconds in ((self.leaving, LEAVING_S), (self.gone, GONE_S)):
+            while kept and self.now - next(iter(kept.values()))[0] > seconds:
+                del kept[next(iter(kept))]
+        self.drains_at = index
         return {"ok": True}
+
+    def drained(self, name: str) -> tuple[int, int]:
+        """An endpoint's rank (1 leaving, 2 gone) and sequence; (0, 0) where nothing is known of it."""
+        if name in self.gone:
+            return GONE, self.gone[name][1]
+        return (LEAVING, self.leaving[name][1]) if name in self.leaving else (0, 0)
+
+    def untold(self) -> dict[str, tuple[int, int]]:
+        """The rank and sequence of the endpoints of which that has changed since this was last asked."""
+        untold, self._untold = self._untold, {}
+        return untold
