--- a/tests/workshop/test_seats.py
+++ b/tests/workshop/test_seats.py
@@ -12,6 +12,7 @@
 from workshop.jig.deployment import BOUNDS, Deployment, Machine
 from workshop.jig.mutants import mutated
 from workshop.settings import Tolerance
+from workshop.vise.agree import Role
 from workshop.vise.seats import FEWEST, FORGOTTEN_S, MOST, Seat, margin, next_step
 
 A_MACHINE, A_ZONE, A_REGION = Tolerance(1, 0, 0), Tolerance(1, 1, 0), Tolerance(1, 1, 1)
@@ -170,3 +171,36 @@
         (rest[other] if other < len(rest) else machine).power_off()
         clock.run(clock.now + BOUNDS["contactMs"] / 1000 - 1.0)
         assert leader(deployment) is not None, f"{other} was lost second"
+
+
+def test_a_leader_that_ends_hands_over_to_one_that_answers() -> None:
+    deployment = begun(5, 3, 3)
+    first = leader(deployment)
+    assert first is not None
+    others = sorted((it for it in deployment.cores if it is not first), key=lambda it: str(it.part.vise.me))
+    others[-1].power_off()
+    deployment.clock.run(deployment.clock.now + 0.8)
+    first.term()
+    deployment.clock.run(deployment.clock.now + 0.1)
+    assert others[0].part.vise.role is not Role.FOLLOWER
+
+
+def test_a_learner_that_is_silent_for_long_is_removed_and_let_in_again() -> None:
+    deployment = begun(6, 4, 4)
+    machine = next(it for it in deployment.cores if it not in voting(deployment))
+    me = machine.part.vise.me
+
+    def member() -> bool:
+        first = leader(deployment)
+        assert first is not None
+        return me in first.part.vise.members
+
+    machine.power_off()
+    deployment.clock.run(deployment.clock.now + FORGOTTEN_S - 5.0)
+    assert member()
+    deployment.clock.run(deployment.clock.now + 10.0)
+    assert not member()
+    machine.start()
+    deployment.clock.run(deployment.clock.now + 2.0)
+    assert member()
+    assert machine.part.vise.me == me
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -30,6 +30,7 @@
 GATHER_S = 0.4  # without a new member until those who came are given shards
 ORDER_S = 0.9  # for an order to be carried out: callers wait a second
 JOIN_S = 0.3  # between a core machine's tries to be a member
+UNHEARD_S = 1.5  # without a leader's word until a core machine asks to be let in again
 STORE = "storage"
 
 
@@ -225,18 +226,20 @@
     # -- membership of the core
 
     def _join(self) -> None:
-        """Have the leader know this machine as it is now."""
+        """Have the leader know this machine as it is now; one that hears none may have been removed."""
         self.world.later(JOIN_S, self._join)
         mine = self.vise.members.get(self.vise.me)
-        told = self._self_told()
-        if mine is not None and {**mine, "voter": None} == {**told, "voter": None}:
+        told, heard = self._self_told(), self.vise.role is Role.LEADER
+        heard |= self.world.now() - self.vise.heard < UNHEARD_S
+        if heard and mine is not None and {**mine, "voter": None} == {**told, "voter": None}:
             return
         body = {"id": self.vise.me, "member": told}
         if self.vise.role is Role.LEADER:
             self._let_in(body)
             return
         leader = self._leader_address()
-        addresses = [leader] if leader else [it for it in internal(self.settings) if it != self.address]
+        known = [*internal(self.settings), *self._cores()]
+        addresses = [leader] if leader and heard else [it for it in known if it != self.address]
         if addresses:
             self.world.tell(self.world.chance.choice(addresses), "core.join", body)
 
--- a/workshop/vise/floors.py
+++ b/workshop/vise/floors.py
@@ -39,6 +39,8 @@
         for name, index in floors.items():
             if index > self.known.get(name, 0):
                 self.known[name] = index
+        for name in self.known.keys() - self._vise.members.keys():
+            del self.known[name]  # it is no member any more, and comes back as another one
         total, now = sum(self.known.values()), self._vise.world.now()
         if total != self._kept[0] and now - self._kept[1] >= AGAIN_S:
             self._kept = total, now
@@ -47,8 +49,7 @@
     # -- as a leader
 
     def note(self, matched: dict[str, int], committed: int) -> None:
-        """Take what members have acknowledged; who is no member any more is forgotten."""
-        self.known = {name: index for name, index in self.known.items() if name in self._vise.members}
+        """Take what members have acknowledged."""
         self._rise({name: min(index, committed) for name, index in matched.items()})
 
     def said_to(self, name: str) -> Json:
