--- a/tests/workshop/test_contact.py
+++ b/tests/workshop/test_contact.py
@@ -14,7 +14,7 @@
 from workshop.jig.deployment import Machine
 from workshop.machine.core import Core
 from workshop.ports import Reply
-from workshop.vise.agree import Saved
+from workshop.vise.log import Saved
 
 BEFORE_S, CUT_S, APPLY_S = 6.0, 20.0, 3.0
 
--- a/workshop/jig/disk.py
+++ b/workshop/jig/disk.py
@@ -106,6 +106,7 @@
             it = self._saved
             state, members, log = json.loads(json.dumps([it.state, it.members, sorted(self._rows.items())]))
             found = Saved(it.me, it.term, it.vote, it.start, it.start_term, state, members)
+            found.floors = dict(it.floors)
             found = assemble(found, [(at, term, command) for at, (term, command) in log])
         if found is None:
             self.wipe()
@@ -126,6 +127,11 @@
         assert saved is not None, "a disk is begun before it is written to"
         if kind == "term":
             saved.term, saved.vote = values
+        elif kind == "floors":
+            saved.floors = values[0]
+        elif kind == "anew":
+            self._saved = Saved(values[0])
+            self._rows.clear()
         elif kind == "cut":
             self._rows = {at: row for at, row in self._rows.items() if at < values[0]}
         elif kind == "entry":
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -33,6 +33,7 @@
 JOIN_S = 0.3  # between a core machine's tries to be a member
 CONTACT_S = 1.2  # since a majority was last asked with success: longer than an election takes
 LARGE = ("config",)  # news that come from the log, and are large
+UNHEARD_S = 1.5  # without a leader's word until a core machine asks to be let in again
 STORE = "storage"
 
 
@@ -73,6 +74,7 @@
         self.counts: dict[str, int] = {}
         self._led = ""
         self._busy: set[str] = set()  # duties under way
+        self._aged_at = 0.0
         self._committed = 0  # what was committed at the last look at the members
         self._short = False  # whether too few voters would be left after a loss
         self._missing: dict[str, float] = {}  # when an owner was first seen without a session
@@ -114,7 +116,7 @@
             offer("roster", [book.roster_at], book.roster)
         if self.vise.members_at <= self.vise.commit:
             offer("cores", [self.vise.members_at], self.vise.members)
-        for name, (rank, sequence) in book.drains.items():
+        for name, (rank, sequence) in book.untold().items():
             known = self.cell.known(name)
             if known is None or known[0] < [rank, sequence, 0]:
                 self.cell.leaves(name, rank, sequence, None)
@@ -291,18 +293,20 @@
     # -- membership of the core
 
     def _join(self) -> None:
-        """Have the leader know this machine as it is now."""
+        """Have the leader know this machine as it is now; one that hears none may have been removed."""
         self.world.later(JOIN_S, self._join)
         mine = self.vise.members.get(self.vise.me)
-        told = self._self_told()
-        if mine is not None and {**mine, "voter": None} == {**told, "voter": None}:
+        told, heard = self._self_told(), self.vise.role is Role.LEADER
+        heard |= self.world.now() - self.vise.heard < UNHEARD_S
+        if heard and mine is not None and {**mine, "voter": None} == {**told, "voter": None}:
             return
         body = {"id": self.vise.me, "member": told}
         if self.vise.role is Role.LEADER:
             self._let_in(body)
             return
         leader = self._leader_address()
-        addresses = [leader] if leader else [it for it in internal(self.settings) if it != self.address]
+        known = [*internal(self.settings), *self._cores()]
+        addresses = [leader] if leader and heard else [it for it in known if it != self.address]
         if addresses:
             self.world.tell(self.world.chance.choice(addresses), "core.join", body)
 
@@ -522,7 +526,7 @@
         if word == "retire":
             self._carry_retire(body["name"], then)
         elif word == "drain":
-            self.vise.propose({"do": "drain", "ids": body["ids"]}, then)
+            self.vise.propose(self._aged({"do": "drain", "ids": body["ids"]}), then)
         elif word == "read":
             self._confirmed_book(
                 lambda: then(Ok({"config": self.book.config, "retired": self.book.retired})), then
@@ -547,6 +551,12 @@
 
         self.vise.confirm(confirmed)
 
+    def _aged(self, command: Json) -> Json:
+        """A command that has the book's time go on by what passed while this machine led."""
+        now, since = self.world.now(), max(self._aged_at, self.vise.led_since)
+        self._aged_at = now
+        return {**command, "after": round(now - since, 3)}
+
     def _carry_retire(self, name: str, then: Callable[[Result[Json, NotTaken]], None]) -> None:
         self._confirmed_book(lambda: self._retire_confirmed(name, then), then)
 
@@ -570,7 +580,7 @@
         if said.get("again"):
             then(Ok(said))
             return
-        if "status" in said and said["status"] == 412:
+        if said.get("status") in (412, 503):
             then(Ok(said))
             return
         whole = changed(self.book.config, text) if word == "modify" else Ok(text)
@@ -581,7 +591,7 @@
             return
         assert isinstance(whole, Ok)
         command = {"do": "config", "base": base, "edition": edition, "sum": sum_, "config": whole.ok_value}
-        self.vise.propose(command, then)
+        self.vise.propose(self._aged(command), then)
 
     def _config(self, word: str, asked: Asked, say: Say) -> None:
         data = parse(asked.body)
@@ -725,8 +735,7 @@
 
     def _leave(self, name: str, rank: int, sequence: int, said: Json | None, say: Say) -> None:
         """Tell all at once, and acknowledge once a majority holds it: a lost machine can't take it along."""
-        known = self.book.drains.get(name)
-        if known is not None and known[0] >= rank:
+        if self.book.drained(name)[0] >= rank:
             say(Said(200, {}))
             return
         self.cell.leaves(name, rank, sequence, said)
--- a/workshop/vise/log.py
+++ b/workshop/vise/log.py
@@ -44,6 +44,7 @@
     members: Json = field(default_factory=dict)
     entries: list[Entry] = field(default_factory=list)  # behind what the snapshot covers
     tail: list[Entry] = field(default_factory=list)  # the last ones that it covers, as far as they are kept
+    floors: Json = field(default_factory=dict)  # what members are known to have had, by member
 
 
 def assemble(saved: Saved, rows: Iterable[tuple[int, int, Json | None]]) -> Saved | None:
@@ -95,6 +96,7 @@
         self._since = 0  # bytes applied since the snapshot
         self._writing: list[_Write] = []
         self._refused = False  # whether the disk has refused what is not written again yet
+        self._ended = False
         self._again_s = AGAIN_S[0]
 
     @property
@@ -212,10 +214,16 @@
 
     # -- the disk
 
+    def end(self) -> None:
+        """Write nothing more: what follows is another member's log."""
+        self._ended = True
+
     def _save(self, rows: list[Row], write: _Write, snap: int = 0) -> None:
         """Write entries, and a snapshot if its index is named; what has lasted is counted then."""
 
         def done(error: str | None) -> None:
+            if self._ended:
+                return
             if write in self._writing:
                 self._writing.remove(write)
             if error is not None:
@@ -237,6 +245,8 @@
 
     def _save_rest(self) -> None:
         """Write all that is not known to be on disk: a log with a gap would be worth nothing at a start."""
+        if self._ended:
+            return
         self._refused = False
         rows: list[Row] = [self._snap_row()] if self._snap_synced < self.snap else []
         first = max(self.synced, self.start) + 1
