--- a/workshop/jig/checker.py
+++ b/workshop/jig/checker.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from workshop.jig.contact import Contact
 from workshop.jig.deployment import BOUNDS
-from workshop.jig.history import Broken, History, Run, Sent, Version
+from workshop.jig.history import Broken, History, Run, Sent, Version, What
 
 CONTACT_S = BOUNDS["contactMs"] / 1000
 APPLY_S = BOUNDS["configApplyMs"] / 1000
@@ -18,6 +18,7 @@
 MARGIN_S = 0.05  # before the route's timeout
 SERVED = 0.9  # of what is sent in calm
 READY = 7 / 8  # of the time in touch
+OFFERED_S = 2.0  # from when a message is due until an endpoint has been asked
 STEP_S = 0.25  # between the stretches that are looked at
 KNOWN_S = 3.0  # into a day, until stores are on the roster
 
@@ -29,7 +30,9 @@
         self.history, self.max_attempts = history, max_attempts
         self.broken: list[Broken] = list(history.faults)
         self.runs: dict[str, list[Run]] = defaultdict(list)
+        self._arrivals: dict[str, list[Run]] = defaultdict(list)
         for run in history.runs:
+            self._arrivals[run.attempt].append(run)
             if run.began is not None:
                 self.runs[run.attempt].append(run)
         self.contact = Contact(history)
@@ -77,12 +80,14 @@
         self._config_answers()
         self._config_runs()
         self._config_back()
+        self._config_fresh()
         self._config_in_force()
         self._config_refused()
         self._config_read()
         self._retire()
         self._acks()
         self._served()
+        self._offered()
         self._drain()
         self._ceiling()
         self._recover()
@@ -133,9 +138,6 @@
                             break
 
     def _twice(self) -> None:
-        arrivals: dict[str, list[Run]] = defaultdict(list)
-        for run in self.history.runs:
-            arrivals[run.attempt].append(run)
         for attempt, runs in self.runs.items():
             for first in runs:
                 whole = first.ended is not None and first.ended - first.arrived <= first.seconds - MARGIN_S
@@ -267,6 +269,26 @@
                 self._say("CONFIG", f"{life} went back from {bound} to {max(those)} at {sent_at:.3f}")
             floors[life].append((seen_at, min(those)))
 
+    def _config_fresh(self) -> None:
+        """A process serves by nothing older than what was acknowledged before it began."""
+        lives: Counter[str] = Counter()
+        begun: dict[str, float] = {}
+        for event in self.history.events:
+            if event.what is What.START:
+                lives[event.machine] += 1
+                begun[f"{event.machine}#{lives[event.machine]}"] = event.at
+        for sent in self.history.sent.values():
+            if sent.status not in (202, 404) or sent.life not in begun:
+                continue
+            allowed = self._allowed(begun[sent.life], sent.answered_at)
+            there = {self._prefix(sent) in it.services for it in allowed}
+            if allowed and (sent.status == 202) not in there:
+                self._say(
+                    "CONFIG",
+                    f"{sent.attempt} was answered {sent.status} at {sent.answered_at:.3f} by {sent.life}"
+                    f" by what was old as that began, at {begun[sent.life]:.3f}",
+                )
+
     def _config_in_force(self) -> None:
         versions = self.history.versions
         by_base: dict[int, list[int]] = defaultdict(list)
@@ -312,18 +334,17 @@
                     )
 
     def _config_read(self) -> None:
-        """What is read is no older than what was acknowledged before."""
-        for call in self.history.calls:
-            if call.what != "read" or call.status not in (200, 404):
-                continue
+        """What is read is in force, and no older than what was acknowledged or read before."""
+        seen = [(it.answered_at, it.edition) for it in self.in_force if it.acked]
+        reads = [it for it in self.history.calls if it.what == "read" and it.status in (200, 404)]
+        seen += [(it.answered_at, it.said["edition"]) for it in reads if it.status == 200 and it.said]
+        for call in reads:
             found = call.said["edition"] if call.status == 200 and call.said is not None else 0
-            newest = max(
-                (it.edition for it in self.in_force if it.acked and it.answered_at < call.at), default=0
-            )
+            newest = max((edition for at, edition in seen if at < call.at), default=0)
             if found < newest:
-                self._say(
-                    "CONFIG", f"{found} is read at {call.core} at {call.at:.3f}, {newest} was acknowledged"
-                )
+                self._say("CONFIG", f"{found} is read at {call.core} at {call.at:.3f}, {newest} was known")
+            elif found and not any(self._same(it.config, call.said or {}) for it in self.in_force):
+                self._say("CONFIG", f"{found} is read at {call.core} at {call.at:.3f}, and is not in force")
 
     def _retire(self) -> None:
         """A store that exists is known, and what was ordered for it too."""
@@ -340,6 +361,11 @@
             if call.status == 409 and self.contact.settled(call.at, call.answered_at):
                 self._say("RETIRE", f"{call.core} refuses to empty {call.name} at {call.at:.3f}")
 
+        for at, name in self.history.emptied:
+            ordered = any(it.what == "retire" and it.name == name and it.at < at for it in self.history.calls)
+            if not ordered and self.contact.in_touch(name, at, at):
+                self._say("RETIRE", f"{name}, in touch and not to be emptied, gives up its disk at {at:.3f}")
+
     def _acks(self) -> None:
         """A proper order is acknowledged within a bound while the core is settled."""
         over = self.history.clock.now
@@ -386,6 +412,24 @@
         if len(sent) >= 20 and served < SERVED * len(sent):
             self._say("RECOVER", f"{served} of {len(sent)} are accepted by edges in touch")
 
+    def _offered(self) -> None:
+        """While all edges are in touch, what is due soon reaches an endpoint."""
+        edges = [it.name for it in self.history.places.values() if it.kind == "edge"]
+        late: list[str] = []
+        all_ = 0
+        for sent in self.history.sent.values():
+            due = max(sent.due_at, sent.answered_at)
+            until = due + OFFERED_S
+            if sent.status != 202 or not sent.target.startswith("/plain/") or until > self.history.over_at:
+                continue
+            if not all(self.contact.in_touch(name, sent.at, until) for name in edges):
+                continue
+            all_ += 1
+            if not any(it.arrived <= until for it in self._arrivals.get(sent.attempt, ())):
+                late.append(f"{sent.attempt} due {due:.3f}")
+        if len(late) >= 5 and len(late) > (1 - SERVED) * all_:
+            self._say("RECOVER", f"{len(late)} of {all_} messages reach no endpoint in time: {late[:3]}")
+
     @staticmethod
     def _same(sent: dict[str, object], back: dict[str, object]) -> bool:
         def plain(config: dict[str, object]) -> dict[str, object]:
--- a/workshop/jig/control.py
+++ b/workshop/jig/control.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from workshop.jig.deployment import BOUNDS, Machine
+from workshop.jig.deployment import BOUNDS, RESTART_S, Machine
 from workshop.jig.history import What
 
 if TYPE_CHECKING:
@@ -18,6 +18,8 @@
 BACK_S = BOUNDS["catchUpS"]  # a machine counts as lost so long after it is back
 RESETS_S = (2.0, 9.0)  # between resets of connections that are cut
 ORDERS_S = (0.3, 2.2)  # between orders
+STORM_S = (0.02, 0.2)  # the same where they come in quick succession
+KNOCK_S = 0.03  # between clients' uses of new routes
 FORMS = ("silent", "silent", "to", "from", "reset", "refuse", "refuse")
 
 
@@ -51,13 +53,23 @@
         seconds = self.chance.choice([it for it in CUT_S if it <= left])
         self.cut_off(self._victim(), seconds, self.chance.choice(FORMS), self.chance.random() < 0.5)
         assert self.cut is not None, "a machine was just cut off"
-        then = self.chance.choice(("both", "both", "seeds", "kill", "none", "none"))
+        then = self.chance.choice(("both", "both", "seeds", "kill", "leader", "freeze", "roll", "none"))
         if then == "both":
             self.both(seconds)
         elif then == "seeds":
             self.new_seeds(seconds)
-        elif then == "kill":
-            self.clock.later(self.chance.uniform(1.0, seconds), self._kill_all)
+        elif then != "none":
+            act = {
+                "kill": self._kill_all, "leader": self._kill_leader, "freeze": self._freeze_leader,
+                "roll": self._roll,
+            }[then]  # fmt: skip
+            self.clock.later(self.chance.uniform(0.5, seconds), act)
+        if self.chance.random() < 0.6:
+            self._storm(self.clock.now + self.chance.uniform(1.0, 3.0))
+        if self.chance.random() < 0.6:
+            self._start_beside()
+        if self.chance.random() < 0.6:
+            self.clock.later(seconds - 0.1, lambda: self._storm(self.clock.now + 2.0))
         self._meet(self.cut)
         pause = seconds + BACK_S + self.chance.uniform(0.1, 3.0)
         self.clock.later(pause, lambda: self._next(end))
@@ -65,6 +77,8 @@
     def _victim(self) -> Machine:
         """The leader, one of those who follow it, or one that settings files name."""
         cores, leader = self.deployment.cores, self.day.leader()
+        if self.day.home and self.chance.random() < 0.6:
+            return next(it for it in cores if it.zone == self.day.home)  # the endpoints' beats go there
         which = self.chance.choice(("leader", "follower", "seed"))
         if which == "leader" and leader is not None:
             return leader
@@ -112,9 +126,25 @@
 
     # -- restarts meanwhile
 
-    def restart(self, machine: Machine) -> None:
+    def _start_beside(self) -> None:
+        """Edges look for a relay while one does not know yet that it is cut off, and changes are made."""
+        for machine in self.chance.sample(self.deployment.edges, len(self.deployment.edges) // 2):
+            self.clock.later(self.chance.uniform(0.0, 0.5), partial(self.restart, machine, DOWN_S[0]))
+        until = self.clock.now + 1.8
+        self._storm(until - 0.8)
+        self._knock(until)
+
+    def _knock(self, until: float) -> None:
+        """Clients use the routes that came last."""
+        if self.clock.now < until:
+            self.day.look_at_routes()
+            if self.day.clients.extra:
+                self.day.clients.send(self.chance.choice(self.day.clients.extra))
+            self.clock.later(KNOCK_S, lambda: self._knock(until))
+
+    def restart(self, machine: Machine, seconds: float = 0.0) -> None:
         """A process is killed, and starts again."""
-        seconds = self.chance.choice(DOWN_S)
+        seconds = seconds or self.chance.choice(DOWN_S)
         self.history.trouble(f"{machine.name} is restarted", seconds, marked=True)
         machine.kill()
         self.clock.later(seconds, machine.start)
@@ -141,8 +171,9 @@
         if self.chance.random() < 0.5:
             self.history.say("settings files are told")
             self.deployment.tell_settings()
-        edges = self.chance.sample(self.deployment.edges, len(self.deployment.edges) // 2)
-        for machine in edges:
+        some = self.chance.sample(self.deployment.edges, len(self.deployment.edges) // 2)
+        some += self.chance.sample(self.deployment.stores, 1)
+        for machine in some:
             self.clock.later(self.chance.uniform(0.1, 0.6) * seconds, partial(self.restart, machine))
 
     def _kill_all(self) -> None:
@@ -166,8 +197,72 @@
         self.operator.on_acked = strike
         self.clock.later(2.0, strike)
 
+    def _leader(self) -> Machine | None:
+        """Who leads on the side of the majority."""
+        cut_off = self.cut.machine if self.cut is not None else None
+        return next(
+            (
+                it
+                for it in self.deployment.cores
+                if it is not cut_off and it.up and it.part.vise.leader == it.part.vise.me
+            ),
+            None,
+        )
+
+    def _kill_leader(self) -> None:
+        """The leader is killed just as a configuration was acknowledged, and orders come at once."""
+        struck = False
+
+        def strike(core: Machine | None = None) -> None:
+            nonlocal struck
+            leader = self._leader()
+            if struck or leader is None:
+                return
+            struck = True
+            self.operator.on_acked = lambda it: None
+            self.restart(leader)
+            self._storm(self.clock.now + 2.5)
+
+        self.operator.on_acked = strike
+        self.clock.later(1.5, strike)
+
+    def _freeze_leader(self) -> None:
+        """The leader does nothing for a while: as it wakes, it does not know yet that another one leads."""
+        leader = self._leader()
+        if leader is None:
+            return
+        seconds = self.chance.uniform(0.7, 3.0)
+        self.history.trouble(f"{leader.name} is frozen for {seconds:.1f} s", seconds, marked=True)
+        leader.freeze()
+        self.clock.later(seconds, leader.thaw)
+        self._storm(self.clock.now + seconds + 0.5)
+        for _ in range(3):
+            at = max(0.0, seconds - self.chance.uniform(-0.01, 0.9))
+            self.clock.later(at, partial(self.operator.order, to=leader))
+
+    def _roll(self) -> None:
+        """Core machines are told to end, one after the other."""
+        at = 0.0
+        for machine in self.deployment.cores:
+            self.clock.later(at, partial(self._term, machine))
+            at += self.chance.uniform(1.2, 2.5)
+
+    def _term(self, machine: Machine) -> None:
+        self.history.trouble(f"{machine.name} is told to end", RESTART_S, marked=True)
+        machine.term()
+        self.clock.later(RESTART_S, machine.start)
+
     # -- orders
 
+    def _storm(self, until: float) -> None:
+        """Orders in quick succession."""
+        if self.clock.now < until:
+            operator = self.operator
+            self.chance.choice(
+                (operator.order, operator.order, operator.pair, operator.read, operator.retire)
+            )()
+            self.clock.later(self.chance.uniform(*STORM_S), lambda: self._storm(until))
+
     def _meet(self, cut: Cut) -> None:
         """Orders to the very machine that is cut off, meanwhile and as it returns."""
         left = cut.until - self.clock.now
@@ -175,8 +270,9 @@
         for at in times:
             hard = self.chance.random() < 0.3
             how: Callable[[], None] = partial(self.operator.order, to=cut.machine, hard=hard)
-            if self.chance.random() < 0.3:
-                how = partial(self.operator.pair, to=cut.machine)
+            if self.chance.random() < 0.4:
+                other = self.chance.choice([it for it in self.deployment.cores if it is not cut.machine])
+                how = partial(self.operator.pair, cut.machine, self.chance.choice((cut.machine, other)))
             self.clock.later(at, how)
         if self.chance.random() < 0.4:
             self.clock.later(left + self.chance.uniform(0.1, 1.0), partial(self._leave_near, cut.machine))
--- a/workshop/jig/days.py
+++ b/workshop/jig/days.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
+from unittest.mock import patch
 
 from workshop.jig.checker import Checker
 from workshop.jig.clients import Clients, Load
@@ -15,6 +16,7 @@
 from workshop.jig.footing import Footing
 from workshop.jig.history import Broken
 from workshop.jig.operator import Operator, route, service
+from workshop.vise import agree
 
 TRAFFIC_S = 3.5  # machines start so long before traffic does
 AFTER_S = 10.0  # for what was accepted to be done
@@ -77,6 +79,7 @@
             "limits": {"maxHeaderBytes": 16384},
         }  # fmt: skip
         self.operator = Operator(self.deployment, first)
+        self.compact = agree.COMPACT  # entries in the core's log until a snapshot takes their place
         self.footing = Footing(self)
         self.control = Control(self)
         if aim in ("closing", "core"):
@@ -84,8 +87,15 @@
             for machine in self.deployment.stores + self.deployment.cores:
                 assert machine.disk is not None, "stores and cores have a disk"
                 machine.disk.sync_s = chance.choice((0.002, 0.05, 0.1))
+        self.home = ""  # the zone of all endpoints, where they stand in one
         if aim == "control":
+            if chance.random() < 0.4:
+                self.home = chance.choice(self.deployment.cores).zone
             self.operator.lost, self.operator.repeats = chance.choice((0.0, 0.2)), 0.5
+            self.compact = chance.choice((512, 60, 20))
+            for machine in self.deployment.cores:
+                assert machine.disk is not None, "core machines have a disk"
+                machine.disk.sync_s = chance.choice((0.002, 0.002, 0.03))
         if aim == "config":
             for machine in self.deployment.machines:
                 machine.loss = 0.06
@@ -93,11 +103,15 @@
 
     def play(self) -> list[Broken]:
         """Play the day; the rules that broke."""
+        with patch.object(agree, "COMPACT", self.compact):
+            return self._play()
+
+    def _play(self) -> list[Broken]:
         for machine in self.deployment.machines:
             self.clock.later(self.chance.uniform(0.0, 0.15), machine.start)
         for name, count in (("alpha", 4), ("beta", 3), ("gamma", 2)):
             for number in range(count):
-                zone = self.deployment.zones[number % self.size.zones]
+                zone = self.home or self.deployment.zones[number % self.size.zones]
                 self.clock.later(1.2, partial(self._start, name, zone))
         self.clock.later(0.6, self.operator.begin)
         self.clients.begin()
@@ -164,7 +178,8 @@
             free[which] = at + (
                 chance.uniform(BACK_S + 3.5, BACK_S + 6.0) if which == "system" else chance.uniform(0.4, 3.0)
             )
-        if self.aim in ("closing", "core") or (not self.aim and chance.random() < 0.25):
+        often = {"": 0.25, "control": 0.4}.get(self.aim, 0.0)
+        if self.aim in ("closing", "core") or (often and chance.random() < often):
             self.clock.later(end + 1.0 - self.clock.now, partial(self._do, self._close))
 
     @staticmethod
@@ -337,7 +352,9 @@
     def _close(self) -> float:
         """A closing fault: right after a configuration is acknowledged."""
         chance = self.chance
-        what = "wipe" if self.aim in ("closing", "core") else chance.choice(("power", "kill", "wipe"))
+        # On control days, a machine that was cut off may still count as lost: no disk goes besides.
+        hows = ("power", "kill") if self.aim == "control" else ("power", "kill", "wipe")
+        what = "wipe" if self.aim in ("closing", "core") else chance.choice(hows)
         by_aim = {"core": self.deployment.cores, "closing": self.deployment.stores}
         counted = by_aim.get(self.aim, self.deployment.stores + self.deployment.cores)
         seconds = chance.uniform(0.5, 2.0)
--- a/workshop/jig/deployment.py
+++ b/workshop/jig/deployment.py
@@ -65,6 +65,8 @@
             make = Shelf if kind == "core" else Chest
             chance = deployment.draw(f"disk {name} {address}")
             self.disk = make(deployment.clock, chance, deployment.sync_s)
+            if isinstance(self.disk, Chest):
+                self.disk.on_anew = partial(deployment.history.store_emptied, name)
 
     @property
     def up(self) -> bool:
@@ -141,7 +143,8 @@
 
     def thaw(self) -> None:
         if self.life is not None:
-            self.deployment.history.mark(self.name, What.THAW)
+            if self.up:
+                self.deployment.history.mark(self.name, What.THAW)
             self.life.thaw(self.deployment.chance)
 
     def wipe(self) -> None:
--- a/workshop/jig/disk.py
+++ b/workshop/jig/disk.py
@@ -141,6 +141,7 @@
 
     def __init__(self, clock: Clock, chance: random.Random, sync_s: float) -> None:
         super().__init__(clock, chance, sync_s)
+        self.on_anew: Callable[[], None] = lambda: None  # its store empties it and begins as another disk
         self.wipe()
 
     def wipe(self) -> None:
@@ -179,6 +180,7 @@
             self._disk, self._enrolled = values[0], 0
             self._rows.clear()
             self._bodies.clear()
+            self.on_anew()
         else:
             self._rows.pop(values[0], None)
             self._bodies.pop(values[0], None)
--- a/workshop/jig/history.py
+++ b/workshop/jig/history.py
@@ -158,6 +158,7 @@
         self.places: dict[str, Place] = {}  # all machines that there ever were
         self.cuts: list[tuple[float, frozenset[tuple[str, str]]]] = [(0.0, frozenset())]
         self.lossy = False  # whether links lose packets all day long: then nobody is in touch
+        self.emptied: list[tuple[float, str]] = []  # stores that gave up their disk's content, and when
         self.calls: list[Call] = []
         self.polls: list[tuple[float, str, bool]] = []  # when, which edge, whether it was ready
         self.leaving: dict[str, float] = {}  # endpoint -> when it first said that it leaves
@@ -182,6 +183,11 @@
         """Something happened to a machine, just now."""
         self.events.append(Event(self.clock.now, machine, what))
 
+    def store_emptied(self, store: str) -> None:
+        """A store has given up what its disk held."""
+        self.say(f"{store} gives up what it held")
+        self.emptied.append((self.clock.now, store))
+
     def links_are(self, cut: frozenset[tuple[str, str]]) -> None:
         """From now on, nothing gets from the first to the second of these machines."""
         self.cuts.append((self.clock.now, cut))
--- a/workshop/jig/operator.py
+++ b/workshop/jig/operator.py
@@ -134,8 +134,8 @@
         if self.edition and self.under_way < MOST:
             self._send(self._version(self._changed(), True), self._word(), self._taken_up(), to, hard)
 
-    def pair(self, to: Machine | None = None) -> None:
-        """Two operators change one version at once; they may pick the same number."""
+    def pair(self, to: Machine | None = None, other: Machine | None = None) -> None:
+        """Two operators change one version at once, first at these relays; they may pick the same number."""
         if not self.edition or self.under_way + 2 > MOST:
             return
         first = self._version(self._changed(), True)
@@ -143,8 +143,8 @@
         while {**config, "edition": 0} == {**first.config, "edition": 0}:
             config = self._changed()
         number = first.edition if self.chance.random() < 0.6 else 0
-        for version in (first, self._version(config, True, number)):
-            self._send(version, self._word(), self._taken_up(), to)
+        for version, relay in ((first, to), (self._version(config, True, number), other)):
+            self._send(version, self._word(), self._taken_up(), relay)
 
     def many(self) -> None:
         """As many orders at once as there may be."""
