--- a/workshop/jig/control.py
+++ b/workshop/jig/control.py
@@ -70,7 +70,7 @@
             self._start_beside()
         if self.chance.random() < 0.6:
             self.clock.later(seconds - 0.1, lambda: self._storm(self.clock.now + 2.0))
-        self._meet(self.cut)
+        self.meet(self.cut)
         pause = seconds + BACK_S + self.chance.uniform(0.1, 3.0)
         self.clock.later(pause, lambda: self._next(end))
 
@@ -263,7 +263,7 @@
             )()
             self.clock.later(self.chance.uniform(*STORM_S), lambda: self._storm(until))
 
-    def _meet(self, cut: Cut) -> None:
+    def meet(self, cut: Cut) -> None:
         """Orders to the very machine that is cut off, meanwhile and as it returns."""
         left = cut.until - self.clock.now
         times = [self.chance.uniform(0.0, left), left + self.chance.uniform(-0.05, 0.3)]
--- a/workshop/jig/days.py
+++ b/workshop/jig/days.py
@@ -10,7 +10,7 @@
 
 from workshop.jig.checker import Checker
 from workshop.jig.clients import Clients, Load
-from workshop.jig.control import Control
+from workshop.jig.control import FORMS, Control
 from workshop.jig.deployment import BOUNDS, RESTART_S, Deployment, Machine
 from workshop.jig.endpoints import Kind
 from workshop.jig.footing import Footing
@@ -22,6 +22,7 @@
 AFTER_S = 10.0  # for what was accepted to be done
 QUESTIONS_S = 6.0
 BACK_S = BOUNDS["catchUpS"]  # a machine counts as lost so long after it is back
+CORE_CUT_S = (4.0, 4.4)  # on ordinary days
 MAX_ATTEMPTS = 3
 
 
@@ -87,6 +88,7 @@
             for machine in self.deployment.stores + self.deployment.cores:
                 assert machine.disk is not None, "stores and cores have a disk"
                 machine.disk.sync_s = chance.choice((0.002, 0.05, 0.1))
+        self.end = 0.0  # of the troubles
         self.home = ""  # the zone of all endpoints, where they stand in one
         if aim == "control":
             if chance.random() < 0.4:
@@ -133,11 +135,11 @@
 
     def _plan(self, start: float, end: float) -> None:
         """Draw what happens when. Losses of counted machines stand apart by what it takes to catch up."""
-        chance = self.chance
+        chance, self.end = self.chance, end
         free = {"system": start, "other": start}
         system: list[Callable[[], float]] = [
             self._kill, self._power, self._freeze, self._roll, self._cut, self._leader_acks, self._drop_links,
-            self._stall, self._leader_drains,
+            self._stall, self._leader_drains, self._core_cut,
         ]  # fmt: skip
         aims: dict[str, list[Callable[[], float]]] = {
             "edges": [self._edge_freeze, self._edge_kill, self._edge_roll, self._edge_cut],
@@ -268,6 +270,19 @@
             self.clock.later(seconds, partial(self.deployment.net.reset, machine))
         return seconds
 
+    def _core_cut(self) -> float:
+        """A core machine is cut off from the others, where it counts as lost no more by the closing fault."""
+        control = self.control
+        if self.clock.now + CORE_CUT_S[1] + BACK_S > self.end + 1.0:
+            return self._cut()
+        control.cut_off(
+            self._any(self.deployment.cores), self.chance.uniform(*CORE_CUT_S), self.chance.choice(FORMS),
+            self.chance.random() < 0.5,
+        )  # fmt: skip
+        assert control.cut is not None, "a machine was just cut off"
+        control.meet(control.cut)
+        return CORE_CUT_S[1]
+
     def _cut(self) -> float:
         return self.cut_off(self._any(self.deployment.machines), self.chance.uniform(0.3, 4.0))
 
