--- a/workshop/jig/mutants.py
+++ b/workshop/jig/mutants.py
@@ -12,7 +12,7 @@
 from workshop.crib.orders import Said, Say
 from workshop.crib.sessions import Session
 from workshop.hatch.routes import Routes
-from workshop.jig import faults_frames, faults_seats
+from workshop.jig import faults_cuts, faults_frames, faults_seats
 from workshop.lathe import spread
 from workshop.lathe.message import Message
 from workshop.lathe.shards import Shards, Taken
@@ -205,6 +205,7 @@
     "older-term": (_older_term, "core"),
     **faults_seats.FAULTS,
     **faults_frames.FAULTS,
+    **faults_cuts.FAULTS,
 }
 
 
