Play losses right after repairs, replacements, retirements and additions in the jig

Change: aims losses, losses-cores, losses-stores, losses-zone and losses-region draw faultTolerance of 0 to 2 machines, a zone, a machine or a zone, or a region, 3 to 5 zones, 1 to 3 regions (9 ms more between them), stores and cores by zones. The next loss comes catchUpS after the one before is back, or after its successor started; stores are emptied and machines added beside it, and what may be lost is lost as they are done. Copies of a store that is called empty are judged by the tolerance; an order must have an answer within ackMs of settled time.

--- a/workshop/jig/days.py
+++ b/workshop/jig/days.py
@@ -9,10 +9,11 @@
 
 from workshop.jig.checker import Checker
 from workshop.jig.clients import Clients, Load
-from workshop.jig.deployment import BOUNDS, RESTART_S, Deployment, Machine
+from workshop.jig.deployment import BOUNDS, ONE_MACHINE, RESTART_S, Deployment, Machine
 from workshop.jig.endpoints import Kind
 from workshop.jig.footing import Footing
 from workshop.jig.history import Broken
+from workshop.jig.losses import Losses, draw_site
 from workshop.jig.operator import Operator, route, service
 
 TRAFFIC_S = 3.5  # machines start so long before traffic does
@@ -49,6 +50,11 @@
             size = self.size = replace(size, seconds=6.5, rate=100.0 if aim == "closing" else 8.0)
         elif aim == "footing":
             size = self.size = replace(size, seconds=36.0, rate=20.0)
+        tolerance, regions = ONE_MACHINE, 1
+        if aim.startswith("losses"):
+            site = draw_site(random.Random(f"{seed} site"), aim)
+            tolerance, regions = site.tolerance, site.regions
+            size = self.size = Size(site.zones, site.edges, site.stores, site.cores, 50.0, 20.0)
         dedup = chance.random() < 0.4
         kinds = [
             Kind("alpha", 4, 0.06, False),
@@ -56,7 +62,9 @@
             Kind("gamma", 4, 0.05, dedup),
         ]
         heartbeat = 2.0 if aim == "drain" else chance.choice((1.0, 1.2, 2.0))
-        self.deployment = Deployment(seed, size.zones, size.edges, size.stores, size.cores, kinds, heartbeat)
+        self.deployment = Deployment(
+            seed, size.zones, size.edges, size.stores, size.cores, kinds, heartbeat, tolerance, regions
+        )
         self.history, self.clock = self.deployment.history, self.deployment.clock
         rate = 5.0 if aim == "rate" else chance.choice((0.0, 0.0, 8.0))
         paths: tuple[str, ...] = ("/plain/", "/plain/", "/plain/", "/seq/", "/seq/", "/rated/")
@@ -74,7 +82,7 @@
             "limits": {"maxHeaderBytes": 16384},
         }  # fmt: skip
         self.operator = Operator(self.deployment, first)
-        self.footing = Footing(self)
+        self.footing = Losses(self) if aim.startswith("losses") else Footing(self)
         if aim in ("closing", "core"):
             # Machines differ in what they have on disk at any moment.
             for machine in self.deployment.stores + self.deployment.cores:
@@ -142,6 +150,10 @@
         system = aims.get(self.aim, system)
         if self.aim == "config":
             others = [self._changes]
+        if self.aim.startswith("losses"):
+            system = [lambda: 0.0]
+            others = [self._change, self._change, self._race, self.replace_endpoint, self._crash]
+            self.footing.begin(start, end - 2.0)
         if self.aim == "footing":
             others = [*others, self._edge_kill, self._edge_roll, self._edge_freeze]
             self.footing.begin(start, end - 2.0)
--- a/workshop/jig/deployment.py
+++ b/workshop/jig/deployment.py
@@ -25,6 +25,7 @@
 RESTART_S = 0.8
 WALL_S = 1.79e9
 STOP_S = 0.02  # a core's or a store's planned end
+ONE_MACHINE = Tolerance(1, 0, 0)
 REFUSED, CLOSED, SILENT = 0, -1, -2  # instead of an answer's status
 BOUNDS = {
     "seedLagS": 3.0, "reuseAfterS": 2.0, "contactMs": 4000.0, "ackMs": 5000.0, "catchUpS": 4.5,
@@ -183,6 +184,8 @@
         cores: int,
         kinds: list[Kind],
         heartbeat_s: float,
+        tolerance: Tolerance = ONE_MACHINE,
+        regions: int = 1,
     ) -> None:
         self.seed = seed
         self.chance = self.draw("deployment")
@@ -192,7 +195,9 @@
         self.sync_s = 0.002
         self.net = Network(self.clock, self.draw("network"), self.chance.choice((0.0005, 0.0009, 0.003)))
         self.zones = [f"z{number}" for number in range(zones)]
-        self.tolerance = Tolerance(1, 0, 0)
+        self.regions = {zone: f"r{number % regions}" for number, zone in enumerate(self.zones)}
+        self.net.regions = self.regions
+        self.tolerance = tolerance
         self.town = Town(self, kinds)
         self._added = 0
         self.edges = self._make("edge", edges)
@@ -243,8 +248,9 @@
         """The settings file of a machine."""
         serves = {"edge": "edge", "store": "storage", "core": "control_plane"}[machine.kind]
         return Settings(
-            machine.name, machine.ip, machine.zone, "r", frozenset((serves,)), machine.kind,
-            None, None, (machine.ip, 7000) if machine.kind == "core" else None, range(7300, 7316),
+            machine.name, machine.ip, machine.zone, self.regions[machine.zone],
+            frozenset((serves,)), machine.kind, None, None,
+            (machine.ip, 7000) if machine.kind == "core" else None, range(7300, 7316),
             tuple((it.ip, 7000) for it in self.cores[:3]), machine.first, "data", self.heartbeat_s,
             self.tolerance, 300.0, 360.0, BOUNDS,
         )  # fmt: skip
--- a/workshop/jig/footing.py
+++ b/workshop/jig/footing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -181,16 +181,26 @@
 
     def _emptied(self, store: Machine) -> None:
         self.history.say(f"{store.name} is emptied, and taken away")
-        others = [it.disk for it in self.deployment.stores if it is not store]
+        self.check_copies(store)
+        self.deployment.remove(store)
+
+    def check_copies(self, store: Machine, excused: Collection[Machine] = ()) -> None:
+        """Enough copies of what is open stand elsewhere; those excused may have lost theirs since."""
+        done, tolerance, regions = self.done(), self.deployment.tolerance, self.deployment.regions
+        others = [it for it in self.deployment.stores if it is not store]
         for sent in self.history.sent.values():
-            if sent.status != 202 or sent.target.startswith("/x") or sent.attempt in self.done():
+            if sent.status != 202 or sent.target.startswith("/x") or sent.attempt in done:
                 continue
-            kept = [it.holds(sent.name) for it in others if isinstance(it, Chest)]
-            if not any(end for _, end in kept) and sum(held for held, _ in kept) < 2:
+            kept = {it: it.disk.holds(sent.name) for it in others if isinstance(it.disk, Chest)}
+            holders = dict.fromkeys([it for it in others if kept[it][0]] + list(excused))
+            places = [(it.zone, regions[it.zone]) for it in holders]
+            if not any(end for _, end in kept.values()) and not tolerance.holds(places):
                 self.history.faults.append(
-                    Broken("RETIRE", f"{store.name} is called empty, and {sent.name} lacks a copy elsewhere")
+                    Broken(
+                        "RETIRE",
+                        f"{store.name} is called empty, and {sent.name} has too few copies elsewhere",
+                    )
                 )
-        self.deployment.remove(store)
 
     def done(self) -> set[str]:
         """Messages that endpoints have ended, or may have."""
--- /dev/null
+++ b/workshop/jig/losses.py
@@ -0,0 +1,346 @@
+"""One loss after another, as soon as the pages allow it: after repairs, replacements, retirements."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+
+from workshop.jig.deployment import BOUNDS, Machine
+from workshop.jig.footing import ASK_S, BACK_S, RETIRE_S, Footing
+from workshop.jig.history import Broken
+from workshop.settings import Tolerance
+
+if TYPE_CHECKING:
+    from workshop.jig.days import Day
+
+ACK_S = BOUNDS["ackMs"] / 1000
+CONTACT_S = BOUNDS["contactMs"] / 1000
+INSIST_S = 8.0  # an order is sent again for so long, then given up
+PATIENCE_S = 25.0  # for a store to be emptied while others are lost
+SETTLED_S = 1.0  # after a wipe, until what it held may be judged as lost
+SPREADS = (
+    (Tolerance(1, 0, 0), 4), (Tolerance(2, 0, 0), 2), (Tolerance(0, 1, 0), 3), (Tolerance(1, 1, 0), 2),
+    (Tolerance(0, 0, 1), 2), (Tolerance(0, 0, 0), 1),
+)  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """A deployment with what it must bear."""
+
+    tolerance: Tolerance
+    zones: int
+    regions: int
+    edges: int
+    stores: int
+    cores: int
+
+
+def draw_site(chance: random.Random, aim: str) -> Site:
+    """Machines placed by zones in turn, as many as bear the losses and, at times, none more."""
+    by_aim = {"losses-zone": Tolerance(0, 1, 0), "losses-region": Tolerance(0, 0, 1)}
+    tolerance = by_aim.get(aim) or chance.choices(*zip(*SPREADS, strict=True))[0]
+    zones = chance.choice((3, 3, 4, 5))
+    regions = min(zones, 3) if tolerance.regions else 1
+    least = 5 if tolerance.machines == 2 else 3
+    stores = chance.choice((zones, zones, 2 * zones, zones + 1))
+    return Site(
+        tolerance, zones, regions, chance.randrange(max(2, zones - 1), zones + 2), max(least, stores),
+        chance.randrange(least, 7),
+    )  # fmt: skip
+
+
+class Losses(Footing):
+    """Losses in as many lines as machines may be lost at once, and works of the operators' beside them."""
+
+    def __init__(self, day: Day) -> None:
+        super().__init__(day)
+        tolerance = self.deployment.tolerance
+        wide = tolerance.zones or tolerance.regions
+        self.lines = 1 if wide else tolerance.machines
+        self.lost: dict[Machine, None] = {}  # and those that are back only now
+        self.wiped: dict[Machine, float] = {}
+        self.gone: dict[Machine, float] = {}
+        self._free: list[int] = []  # lines that wait for their next loss
+        self._over = 0.0
+        self._kinds = {"losses-cores": ("core",), "losses-stores": ("store",)}.get(day.aim, ("core", "store"))
+        self.works: list[Callable[[], None]] = [self._retire, self._add]
+
+    def begin(self, start: float, end: float) -> None:
+        self._over = end
+        for line in range(self.lines):
+            self.clock.later(start - self.clock.now + line * 0.7, partial(self._lose, line))
+        self.clock.later(start - self.clock.now, self._work)
+        # An order that is judged is given for long enough.
+        self.clock.later(end + CONTACT_S + ACK_S + 1.5 - self.clock.now, self._check_acks)
+
+    # -- lines of losses
+
+    def _unit(self) -> list[Machine]:
+        """What is lost next: a machine, or machines of a zone or region that may go at once."""
+        tolerance, chance, regions = self.deployment.tolerance, self.chance, self.deployment.regions
+        counted = [it for it in self.deployment.stores + self.deployment.cores if it not in self.lost]
+        counted = [it for it in counted if it.kind in self._kinds]
+        if not counted:
+            return []
+        first = chance.choice(counted)
+        wide = tolerance.zones or tolerance.regions
+        if not wide or (tolerance.machines and chance.random() < 0.5):
+            return [first]
+        whole = [
+            it for it in counted
+            if it.zone == first.zone or (tolerance.regions and regions[it.zone] == regions[first.zone])
+        ]  # fmt: skip
+        return whole if chance.random() < 0.7 else chance.sample(whole, chance.randrange(1, len(whole) + 1))
+
+    def _lose(self, line: int) -> None:
+        """The next loss of a line; the one after it comes once this one is over by the pages."""
+        if line in self._free:
+            self._free.remove(line)
+        unit = self._unit()
+        if self.clock.now > self._over or not unit:
+            return
+        acts = [self._wipe, self._wipe, self._dark, self._dark, self._cut, self._still]
+        if len(unit) == 1:
+            acts += [self._replaced, self._replaced, self._planned]
+        self.lost |= dict.fromkeys(unit)
+        self.chance.choice(acts)(unit, partial(self._over_with, line, unit))
+
+    def _over_with(self, line: int, unit: list[Machine]) -> None:
+        """All of it is back, or its successors are: after `catchUpS` the next loss may come."""
+
+        def next_one() -> None:
+            for it in unit:
+                self.lost.pop(it, None)
+            self._free.append(line)
+            pause = self.chance.choice((0.0, 0.0, 0.0, self.chance.uniform(0.0, 10.0)))
+            self.clock.later(pause, partial(self._lose_if_free, line))
+
+        self.clock.later(BACK_S + 0.001, next_one)
+
+    def _lose_if_free(self, line: int) -> None:
+        if line in self._free:
+            self._lose(line)
+
+    def _lose_now(self) -> None:
+        """Something was just finished: whatever may be lost is."""
+        for line in list(self._free):
+            self._lose(line)
+
+    def _start(self, machine: Machine) -> None:
+        if machine in self.deployment.machines:  # it may have been taken away meanwhile
+            machine.start()
+
+    def _names(self, unit: list[Machine]) -> str:
+        return ", ".join(it.name for it in unit)
+
+    # -- ways of being lost
+
+    def _down_all(
+        self, unit: list[Machine], what: str, seconds: float, wipe: bool, then: Callable[[], None]
+    ) -> None:
+        unit = [it for it in unit if it in self.deployment.machines]
+        self.history.trouble(f"{self._names(unit)} {what}, back in {seconds:.2f} s", seconds)
+        for machine in unit:
+            if self.chance.random() < 0.5:
+                machine.kill()
+            machine.power_off()
+            if wipe:
+                machine.wipe()
+                self.wiped[machine] = self.clock.now
+            self.clock.later(seconds, partial(self._start, machine))
+        self.clock.later(seconds, then)
+
+    def _wipe(self, unit: list[Machine], then: Callable[[], None]) -> None:
+        """Disks are lost right after one of them acknowledged something."""
+        seconds = self.chance.uniform(0.3, 2.0)
+        act = partial(self._down_all, unit, "lose their disks", seconds, True, then)
+        first = self.chance.choice(unit)
+        if first.kind == "store":
+            self.after_put(first, act)
+        else:
+            self._after_ack(act)
+
+    def _after_ack(self, act: Callable[[], None]) -> None:
+        """Do something as a configuration is acknowledged, or a second later."""
+        struck = False
+
+        def strike(core: Machine | None = None) -> None:
+            nonlocal struck
+            if not struck:
+                struck = True
+                self.day.operator.on_acked = lambda it: None
+                act()
+
+        self.day.operator.on_acked = strike
+        self.day.operator.change()
+        self.clock.later(1.0, strike)
+
+    def _dark(self, unit: list[Machine], then: Callable[[], None]) -> None:
+        """Without power for a while; the other machines of a zone or region go as well at times."""
+        seconds = self.chance.uniform(0.5, 3.0)
+        zones = {it.zone for it in unit}
+        edges = [it for it in self.deployment.edges if it.zone in zones and it not in self.lost]
+        if len(unit) > 1 and len(edges) < len(self.deployment.edges) and self.chance.random() < 0.5:
+            unit = unit + edges
+        self._down_all(unit, "lose power", seconds, False, then)
+
+    def _cut(self, unit: list[Machine], then: Callable[[], None]) -> None:
+        """Cut off from all others, or from the counted ones, one way or both."""
+        seconds = self.chance.uniform(1.0, 6.0)
+        others = [it for it in self.deployment.machines if it not in unit]
+        if self.chance.random() < 0.5:
+            others = [it for it in others if it.kind == "core"]
+        way = self.chance.choice(("to", "from", "both", "both"))
+        pairs = {(a.name, b.name) for a in unit for b in others if way != "to"}
+        pairs |= {(b.name, a.name) for a in unit for b in others if way != "from"}
+        self.history.trouble(f"{self._names(unit)} cut off ({way}) for {seconds:.1f} s", seconds)
+        self.deployment.net.cut(pairs)
+        self.clock.later(seconds, partial(self.deployment.net.join, pairs))
+        self.clock.later(seconds, then)
+
+    def _still(self, unit: list[Machine], then: Callable[[], None]) -> None:
+        """Frozen for a while."""
+        seconds = self.chance.uniform(0.5, 4.0)
+        self.history.trouble(f"{self._names(unit)} frozen for {seconds:.1f} s", seconds)
+        for machine in unit:
+            machine.freeze()
+            self.clock.later(seconds, machine.thaw)
+        self.clock.later(seconds, then)
+
+    def _replaced(self, unit: list[Machine], then: Callable[[], None]) -> None:
+        """Gone for good; an empty one comes at another address, under its name or another."""
+        (machine,) = unit
+        seconds = self.chance.uniform(0.3, 2.0)
+        name = machine.name if self.chance.random() < 0.5 else ""
+        self.history.trouble(f"{machine.name} is gone for good, another in {seconds:.1f} s", seconds)
+        self._take_away(machine)
+        self._come(machine.kind, machine.zone, seconds, name)
+        self.clock.later(seconds, then)
+
+    def _planned(self, unit: list[Machine], then: Callable[[], None]) -> None:
+        """The new one first; then the old one is told to end and is taken away."""
+        (machine,) = unit
+        seconds = self.chance.uniform(0.5, BACK_S)
+        self.history.trouble(
+            f"{machine.name} gets a successor, and goes in {seconds:.1f} s", seconds, planned=True
+        )
+        self._come(machine.kind, machine.zone, 0.0)
+        self.clock.later(seconds, partial(self._goes, machine))
+        self.clock.later(0.0, then)
+
+    def _goes(self, machine: Machine) -> None:
+        if machine not in self.deployment.machines:
+            return
+        self.history.trouble(f"{machine.name} is told to end, and taken away", 0.1)
+        machine.term()
+        self.clock.later(0.1, partial(self._take_away, machine))
+
+    def _take_away(self, machine: Machine) -> None:
+        if machine in self.deployment.machines:
+            self.deployment.remove(machine)
+            self.gone[machine] = self.clock.now
+
+    # -- works of the operators
+
+    def _work(self) -> None:
+        if self.clock.now < self._over:
+            self.chance.choice(self.works)()
+            self.clock.later(self.chance.uniform(2.0, 12.0), self._work)
+
+    def _add(self) -> None:
+        """A store or a core machine is added; what may be lost goes right after."""
+        kind = self.chance.choice(self._kinds)
+        count = len(self.deployment.stores if kind == "store" else self.deployment.cores)
+        if count >= 9:
+            return
+        self.history.say(f"a {kind} is added")
+        self._come(kind, self.chance.choice(self.deployment.zones), 0.0)
+        if self.chance.random() < 0.5:
+            self.clock.later(self.chance.choice((0.05, 0.5, 1.0)), self._lose_now)
+
+    def _retire(self) -> None:
+        """A store is to be emptied; as it is, it is taken away with its disk, and another is lost."""
+        stores = [it for it in self.deployment.stores if it not in self.lost and it.up]
+        if stores and "store" in self._kinds:
+            self.empty(self.chance.choice(stores))
+
+    def empty(self, store: Machine) -> None:
+        """Order a store to be emptied, where enough others remain; else the order must be refused."""
+        others = [it for it in self.deployment.stores if it is not store]
+        regions = self.deployment.regions
+        whole = [it for it in others if it not in self.lost]
+        remain = self.deployment.tolerance.holds([(it.zone, regions[it.zone]) for it in others])
+        surely = self.deployment.tolerance.holds([(it.zone, regions[it.zone]) for it in whole])
+        self.history.say(f"{store.name} is to be emptied: {'enough' if remain else 'too few'} others remain")
+        began = self.clock.now
+
+        def hear(status: int, said: object) -> None:
+            calm = self.history.calm(began - BACK_S, self.clock.now)
+            if status == 200 and not remain and calm:
+                self.history.faults.append(Broken("RETIRE", f"{store.name} is emptied, and too few remain"))
+            elif status == 200:
+                self._look(store, self.clock.now + RETIRE_S - 2.0)
+            else:
+                self.retired.pop(store.name, None)
+                if status == 409 and surely and calm:
+                    self.history.faults.append(
+                        Broken("RETIRE", f"{store.name}: 409, and enough others remain")
+                    )
+
+        if self.retired:
+            return
+        self.retired[store.name] = began
+        self._ask(f"/-/Retire.Begin/{store.name}", b'{"durationS": 8}', "POST", hear)
+
+    def _look(self, store: Machine, until: float) -> None:
+        began = self.retired[store.name]
+
+        def hear(status: int, said: object) -> None:
+            if store not in self.deployment.stores:
+                self.retired.pop(store.name, None)
+            elif status == 200 and isinstance(said, dict) and said["condition"] == "completed":
+                self._emptied(store)
+            elif self.clock.now < until or not self.history.calm(began, self.clock.now):
+                if self.clock.now < began + PATIENCE_S:
+                    self.clock.later(ASK_S, lambda: self._look(store, until))
+                else:
+                    self.history.faults.append(Broken("RETIRE", f"{store.name} is not emptied: {status}"))
+            else:
+                self.history.faults.append(Broken("RETIRE", f"{store.name} is not emptied in time: {status}"))
+
+        self._ask(f"/-/Retire.Read/{store.name}", b"", "GET", hear)
+
+    def _emptied(self, store: Machine) -> None:
+        self.history.say(f"{store.name} is emptied, and taken away")
+        began = self.retired.pop(store.name)
+        # The system can't know yet what was lost a moment ago: its copies counted, and it is the loss borne.
+        late = [
+            it for it, at in (self.wiped | self.gone).items() if at > began - SETTLED_S and it is not store
+        ]
+        self.check_copies(store, late)
+        self.deployment.remove(store)
+        self._lose_now()
+
+    # -- what is checked besides
+
+    def _check_acks(self) -> None:
+        """An order has an answer within `ackMs` of settled time."""
+        troubles = sorted(self.history.troubles, key=lambda it: it.at)
+        for version in self.history.versions:
+            if not version.valid or version.at > self._over:
+                continue
+            due = version.at + ACK_S
+            for it in troubles:
+                if it.until + CONTACT_S > version.at and it.at <= due:
+                    due = max(due, it.until + CONTACT_S + ACK_S)
+            answered = version.answered_at or 1e9
+            if due <= min(answered, version.at + INSIST_S, self.clock.now):
+                self.history.faults.append(
+                    Broken(
+                        "ACKS", f"edition {version.edition} of {version.at:.3f} has no answer by {due:.3f}"
+                    )
+                )
--- a/workshop/jig/network.py
+++ b/workshop/jig/network.py
@@ -18,6 +18,7 @@
 GIVE_UP_S = 1.5  # until one whose bytes are not acknowledged is closed by the kernel
 AGAIN_S = (0.05, 0.6)  # after a cut, until the kernel sends again
 LOST_S = 0.2  # what a lost packet costs
+BETWEEN_REGIONS_S = 0.009  # more, one way
 
 
 class Host:
@@ -72,6 +73,7 @@
     def __init__(self, clock: Clock, chance: random.Random, between_zones: float) -> None:
         self.clock, self.chance, self.between_zones = clock, chance, between_zones
         self.hosts: dict[str, Host] = {}  # by address
+        self.regions: dict[str, str] = {}  # by zone; those of one region where there are none
         self.numbers = itertools.count(1)
         self._cuts: set[tuple[str, str]] = set()
         self._held: dict[Link, None] = {}
@@ -79,6 +81,8 @@
     def delay(self, a: Host, b: Host) -> float:
         """How long a packet takes now."""
         seconds = 0.0002 if a.zone == b.zone else self.between_zones
+        if self.regions.get(a.zone) != self.regions.get(b.zone):
+            seconds += BETWEEN_REGIONS_S
         loss = a.loss + b.loss
         if loss and self.chance.random() < loss:
             seconds += LOST_S
