Bound what a put asks by the roster, and drop no disk while a store that counts is silent

Change: a put looks for further stores on the roster of now. The leader drops no disk while a full store has no session: it is back soon, or lost and its copies made anew.

Measured: the unit test fails without the change (KeyError).

--- a/tests/workshop/test_losses.py
+++ b/tests/workshop/test_losses.py
@@ -8,10 +8,11 @@
 from absl import logging
 from result import Ok
 
-from tests.workshop.test_shards import STORES
+from tests.workshop.test_shards import STORES, fresh
 from tests.workshop.test_shards import Rig as Owner
 from tests.workshop.test_store import Rig
 from workshop.jig.days import Day
+from workshop.lathe.shards import Taken
 from workshop.ports import Json, Reply
 from workshop.whistle.news import News
 
@@ -107,3 +108,16 @@
     last(Ok(Reply({"ok": True, "disk": STORES[2], "refused": {}, "open": []}, b"")))
     rig.clock.run(2.0)
     assert rig.shards.unfenced == 0
+
+
+def test_a_put_outlasts_a_disk_that_is_dropped_meanwhile() -> None:
+    rig = Owner()
+    rig.answer("fence", {it: {"open": []} for it in STORES})
+    said: list[Taken] = []
+    rig.shards.accept(fresh(), said.append)
+    first, second = (to for to, word, _, _ in rig.world.asked if word == "put")
+    (left,) = set(STORES) - {first, second}
+    rig.spread.roster_is({it: rig.roster[it] for it in STORES if it != left})
+    rig.clock.run(0.5)  # long enough to ask a further store
+    rig.answer("put", {first: {}, second: {}})
+    assert said == [Taken.HELD]
--- a/workshop/jig/days.py
+++ b/workshop/jig/days.py
@@ -50,11 +50,12 @@
             size = self.size = replace(size, seconds=6.5, rate=100.0 if aim == "closing" else 8.0)
         elif aim == "footing":
             size = self.size = replace(size, seconds=36.0, rate=20.0)
-        tolerance, regions = ONE_MACHINE, 1
+        tolerance, regions, delayed = ONE_MACHINE, 1, 0.1
         if aim.startswith("losses"):
             site = draw_site(random.Random(f"{seed} site"), aim)
             tolerance, regions = site.tolerance, site.regions
-            size = self.size = Size(site.zones, site.edges, site.stores, site.cores, 50.0, 20.0)
+            rate, delayed = (50.0, 0.7) if site.backlog else (20.0, 0.1)
+            size = self.size = Size(site.zones, site.edges, site.stores, site.cores, 50.0, rate)
         dedup = chance.random() < 0.4
         kinds = [
             Kind("alpha", 4, 0.06, False),
@@ -66,11 +67,11 @@
             seed, size.zones, size.edges, size.stores, size.cores, kinds, heartbeat, tolerance, regions
         )
         self.history, self.clock = self.deployment.history, self.deployment.clock
-        rate = 5.0 if aim == "rate" else chance.choice((0.0, 0.0, 8.0))
+        ceiling = 5.0 if aim == "rate" else chance.choice((0.0, 0.0, 8.0))
         paths: tuple[str, ...] = ("/plain/", "/plain/", "/plain/", "/seq/", "/seq/", "/rated/")
         if aim == "rate":
             paths = ("/plain/", "/seq/", "/rated/", "/rated/")
-        load = Load(size.rate, paths, frozenset(("/seq/",)), chance.choice((4, 10, 30)))
+        load = Load(size.rate, paths, frozenset(("/seq/",)), chance.choice((4, 10, 30)), delayed)
         self.clients = Clients(self.deployment, load)
         first = {
             "routeTable": [
@@ -78,11 +79,19 @@
                 route("/seq/", "beta", True, rank=0),
                 route("/rated/", "gamma"),
             ],
-            "serviceTable": [service("alpha"), service("beta", dedup=dedup), service("gamma", rate, dedup)],
+            "serviceTable": [
+                service("alpha"),
+                service("beta", dedup=dedup),
+                service("gamma", ceiling, dedup),
+            ],
             "limits": {"maxHeaderBytes": 16384},
         }  # fmt: skip
         self.operator = Operator(self.deployment, first)
         self.footing = Losses(self) if aim.startswith("losses") else Footing(self)
+        if delayed > 0.1:
+            for machine in self.deployment.stores:
+                assert machine.disk is not None, "stores have a disk"
+                machine.disk.sync_s = self.deployment.sync_s = 0.05
         if aim in ("closing", "core"):
             # Machines differ in what they have on disk at any moment.
             for machine in self.deployment.stores + self.deployment.cores:
--- /dev/null
+++ b/workshop/jig/faults_losses.py
@@ -0,0 +1,92 @@
+"""Faults in what guards against a second loss: copies, drops of disks, and stores that join."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from contextlib import AbstractContextManager
+from typing import Any
+from unittest.mock import patch
+
+from workshop.crib.sessions import Session
+from workshop.lathe.shards import Shards
+from workshop.lathe.spread import Spread
+from workshop.machine.core import Core
+from workshop.machine.edge import Edge
+from workshop.machine.store import Store
+from workshop.ports import Json
+
+
+def _retire_short() -> AbstractContextManager[Any]:
+    """A store that is emptied counts as one of the copies of what it holds."""
+
+    def enough(self: Spread, disks: set[str]) -> bool:
+        return self._hold(
+            {
+                disk
+                for disk in disks
+                if disk in self.stores and self.stores[disk].state in ("full", "retiring")
+            }
+        )
+
+    return patch.object(Spread, "enough", enough)
+
+
+def _last_short() -> AbstractContextManager[Any]:
+    """A disk is dropped though one message still lacks a copy."""
+    drop = Core._drop_disks
+
+    def early(self: Core, edges: dict[str, Session]) -> None:
+        short = {name: it.extra.get("short", 0) for name, it in edges.items()}
+        for it in edges.values():
+            it.extra["short"] = max(0, it.extra.get("short", 0) - 1)
+        drop(self, edges)
+        for name, it in edges.items():
+            it.extra["short"] = short[name]
+
+    return patch.object(Core, "_drop_disks", early)
+
+
+def _one_zone() -> AbstractContextManager[Any]:
+    """Copies are counted by machines, wherever they stand."""
+
+    def hold(self: Spread, disks: set[str]) -> bool:
+        names = {self.stores[disk].name for disk in disks if disk in self.stores}
+        tolerance = self.tolerance
+        return len(names) > max(tolerance.machines, tolerance.zones, tolerance.regions)
+
+    return patch.object(Spread, "_hold", hold)
+
+
+def _old_epoch() -> AbstractContextManager[Any]:
+    """A store that joins takes puts of whoever owned shards before."""
+
+    def joins(self: Store, table: int) -> list[Any]:
+        return []
+
+    return patch.object(Store, "_joins", joins)
+
+
+def _unfenced_drop() -> AbstractContextManager[Any]:
+    """A take-over that serves counts as fenced everywhere."""
+    return patch.object(Shards, "unfenced", 0)
+
+
+def _blind_holder() -> AbstractContextManager[Any]:
+    """A disk that was lost still counts as a copy, until it is dropped."""
+
+    def extra(self: Edge) -> Json:
+        said = told(self)
+        return {**said, "short": 0}
+
+    told = Edge._extra
+    return patch.object(Edge, "_extra", extra)
+
+
+FAULTS: Mapping[str, tuple[Callable[[], AbstractContextManager[Any]], str]] = {
+    "retire-short": (_retire_short, "losses-stores"),
+    "last-short": (_last_short, "losses-stores"),
+    "one-zone": (_one_zone, "losses-zone"),
+    "old-epoch": (_old_epoch, "losses-stores"),
+    "unfenced-drop": (_unfenced_drop, "losses-stores"),
+    "blind-drop": (_blind_holder, "losses-stores"),
+}
--- a/workshop/jig/losses.py
+++ b/workshop/jig/losses.py
@@ -20,7 +20,7 @@
 CONTACT_S = BOUNDS["contactMs"] / 1000
 INSIST_S = 8.0  # an order is sent again for so long, then given up
 PATIENCE_S = 25.0  # for a store to be emptied while others are lost
-SETTLED_S = 1.0  # after a wipe, until what it held may be judged as lost
+NOTICED_S = 2.5  # until the system must know that a store is silent or has lost its disk
 SPREADS = (
     (Tolerance(1, 0, 0), 4), (Tolerance(2, 0, 0), 2), (Tolerance(0, 1, 0), 3), (Tolerance(1, 1, 0), 2),
     (Tolerance(0, 0, 1), 2), (Tolerance(0, 0, 0), 1),
@@ -37,19 +37,20 @@
     edges: int
     stores: int
     cores: int
+    backlog: bool  # much is open at any moment, and copies take their time
 
 
 def draw_site(chance: random.Random, aim: str) -> Site:
     """Machines placed by zones in turn, as many as bear the losses and, at times, none more."""
-    by_aim = {"losses-zone": Tolerance(0, 1, 0), "losses-region": Tolerance(0, 0, 1)}
-    tolerance = by_aim.get(aim) or chance.choices(*zip(*SPREADS, strict=True))[0]
+    by_aim = {"zone": Tolerance(0, 1, 0), "region": Tolerance(0, 0, 1)}
+    tolerance = by_aim.get(aim.rpartition("-")[2]) or chance.choices(*zip(*SPREADS, strict=True))[0]
     zones = chance.choice((3, 3, 4, 5))
     regions = min(zones, 3) if tolerance.regions else 1
     least = 5 if tolerance.machines == 2 else 3
     stores = chance.choice((zones, zones, 2 * zones, zones + 1))
     return Site(
         tolerance, zones, regions, chance.randrange(max(2, zones - 1), zones + 2), max(least, stores),
-        chance.randrange(least, 7),
+        chance.randrange(least, 7), "stores" in aim and chance.random() < 0.5,
     )  # fmt: skip
 
 
@@ -67,7 +68,7 @@
         self.going: dict[Machine, None] = {}  # those whose successors have come
         self._free: list[int] = []  # lines that wait for their next loss
         self._over = 0.0
-        self._kinds = {"losses-cores": ("core",), "losses-stores": ("store",)}.get(day.aim, ("core", "store"))
+        self._kinds = tuple(it for it in ("core", "store") if it in day.aim) or ("core", "store")
         self.works: list[Callable[[], None]] = [self._retire, self._add]
 
     def begin(self, start: float, end: float) -> None:
@@ -324,10 +325,12 @@
 
     def _emptied(self, store: Machine) -> None:
         self.history.say(f"{store.name} is emptied, and taken away")
-        began = self.retired.pop(store.name)
+        self.retired.pop(store.name)
         # The system can't know yet what was lost a moment ago: its copies counted, and it is the loss borne.
         late = [
-            it for it, at in (self.wiped | self.gone).items() if at > began - SETTLED_S and it is not store
+            it
+            for it, at in (self.wiped | self.gone).items()
+            if at > self.clock.now - NOTICED_S and it is not store
         ]
         self.check_copies(store, late)
         self.deployment.remove(store)
--- a/workshop/lathe/spread.py
+++ b/workshop/lathe/spread.py
@@ -234,11 +234,16 @@
             return
         for name in sorted(self.waiting):
             self.spread.suspect(name, HEDGE_S)
-        if self.left:
+        if self._left():
             self.spread.hedges += 1
             self._ask(self.left[0])
         self._watch()
 
+    def _left(self) -> list[str]:
+        """The stores that were not asked yet; one may have been dropped while this was under way."""
+        self.left = [name for name in self.left if name in self.spread.stores]
+        return self.left
+
     def _ask(self, name: str) -> None:
         self.left.remove(name)
         self.asked.add(name)
@@ -273,7 +278,7 @@
         if self.spread.enough(self.message.holders):
             self._end(Put.HELD)
         elif not self.spread.enough(self.message.holders | self.waiting):
-            if self.left:
+            if self._left():
                 self._ask(self.left[0])
             elif not self.waiting:
                 sure = not self.unclear and not self.message.holders
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -362,6 +362,9 @@
             return
         if not self._hold(self.book.roster):
             return  # nothing is short only because nothing can be held
+        here = {it.name for it in self.sessions.members(self.world.now()).values()}
+        if any(it["state"] == "full" and it["name"] not in here for it in self.book.roster.values()):
+            return  # its copies count, and may be gone: soon it is back, or they are made anew
         told = [edges[name].extra for name in owners]
         if any(it["table"] != self.book.shards_at or it["loading"] or it["short"] for it in told):
             return
