A put that was under way as its disk was emptied is not kept, and not said to be

Cause: a store that hears that its disk is on the roster no longer empties it and takes another name for it. A put whose write was under way then came back as kept: its entry went into memory again, as open, with no row and no body on disk, and the owner was answered ok.

Change: such a put is answered as one that came too early, and nothing is noted of it. The jig's operator empties no store while another one is being taken away.

--- a/tests/workshop/test_losses.py
+++ b/tests/workshop/test_losses.py
@@ -121,3 +121,13 @@
     rig.clock.run(0.5)  # long enough to ask a further store
     rig.answer("put", {first: {}, second: {}})
     assert said == [Taken.HELD]
+
+
+def test_a_put_under_way_as_its_disk_is_emptied_leaves_nothing() -> None:
+    rig = Rig()
+    rig.put(1)
+    rig.store.news.offer("roster", [9], {})  # others have taken its place
+    while rig.disk.waiting:
+        rig.disk.decide(None)
+    assert rig.said == [{"early": True}]
+    assert rig.open() == []
--- a/workshop/jig/losses.py
+++ b/workshop/jig/losses.py
@@ -239,14 +239,15 @@
         self.clock.later(0.0, then)
 
     def _goes(self, machine: Machine) -> None:
-        self.going.pop(machine, None)
         if machine not in self.deployment.machines:
+            self.going.pop(machine, None)
             return
         self.history.trouble(f"{machine.name} is told to end, and taken away", 0.1)
         machine.term()
         self.clock.later(0.1, partial(self._take_away, machine))
 
     def _take_away(self, machine: Machine) -> None:
+        self.going.pop(machine, None)
         if machine in self.deployment.machines:
             self.deployment.remove(machine)
             self.gone[machine] = self.clock.now
--- a/workshop/machine/store.py
+++ b/workshop/machine/store.py
@@ -136,6 +136,9 @@
         self.kept[name] = kept  # at once, so that an owner who comes now finds it
 
         def done(error: str | None) -> None:
+            if disk != self.disk:  # it was emptied meanwhile, this message with it
+                respond({"early": True}, b"")
+                return
             if error is None:
                 self.full = False
                 self._count("put")
