--- /dev/null
+++ b/tests/workshop/test_losses.py
@@ -0,0 +1,202 @@
+"""Losses that follow repairs, and who may still write to stores then."""
+
+from collections.abc import Iterator
+from dataclasses import replace
+from functools import partial
+from typing import Any
+
+import pytest
+from absl import logging
+from result import Ok
+
+from tests.workshop.test_core import Rig as Leader
+from tests.workshop.test_shards import STORES, fresh
+from tests.workshop.test_shards import Rig as Owner
+from tests.workshop.test_store import Rig
+from workshop.jig.days import Day, play
+from workshop.jig.history import Broken
+from workshop.jig.hunt import one
+from workshop.jig.mutants import mutated
+from workshop.lathe.shards import Taken
+from workshop.ports import Json, Reply
+from workshop.whistle.news import News
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    """Machines' logs tell nothing here."""
+    before = logging.get_verbosity()
+    logging.set_verbosity(logging.FATAL)
+    yield
+    logging.set_verbosity(before)
+
+
+@pytest.mark.parametrize("name", ["", "old-epoch"])
+def test_an_owner_of_before_puts_nothing_on_stores_that_joined_after_the_fence(name: str) -> None:
+    """It wakes after its shards were given away, and hears of two new stores before it hears of that."""
+    day = Day(5, "quiet")
+    old, zone = day.deployment.edges[0], day.deployment.edges[0].zone
+
+    def come() -> None:
+        for _ in range(2):
+            day.deployment.add("store", zone).start()
+
+    def wake() -> None:
+        news: News = old.part.news
+        offer = news.offer
+
+        def late(key: str, version: list[int], value: Any) -> bool:
+            if key == "shards":
+                day.clock.later(0.3, partial(_offer, offer, key, version, value))
+                return False
+            return offer(key, version, value)
+
+        news.offer = late  # type: ignore[method-assign]
+        old.thaw()
+
+    day.clock.later(6.0, old.freeze)
+    day.clock.later(6.0, lambda: day.history.trouble("an owner is frozen for 3 s", 3.0))
+    day.clock.later(8.0, come)
+    day.clock.later(9.0, wake)
+    for number in range(40):
+        day.clock.later(9.0 + number * 0.01, partial(_send, day, old))
+    with mutated(name):
+        assert {it.rule for it in day.play()} == ({"STUCK"} if name else set())
+
+
+def _offer(offer: Any, *item: Any) -> None:
+    offer(*item)
+
+
+def _send(day: Day, edge: Any) -> None:
+    day.clients.pick = lambda zone: edge  # type: ignore[method-assign]
+    day.clients.send("/plain/")
+    del day.clients.pick
+
+
+ROSTER = {
+    "d": {"name": "store", "addr": "s", "zone": "z", "region": "r", "state": "full", "at": 9, "table": 7}
+}
+
+
+def test_a_store_that_joins_refuses_who_owned_shards_before_it_came() -> None:
+    rig = Rig()
+    rig.store.enrolled = 0
+    news = rig.store.news
+    rig.put(1)
+    assert rig.said.pop() == {"early": True}  # it is on no roster
+    news.offer("roster", [9], ROSTER)
+    rig.put(2)
+    assert rig.said.pop() == {"early": True}  # it does not know who owned what when it came
+    news.offer("shards", [7], {"owners": [], "shards": [[0, 3, -1], [0, 7, -1]], "roster": 4})
+    rig.put(3)
+    assert rig.said.pop() == {"fenced": 7}
+    assert rig.store.enrolled == 9
+
+
+def test_an_owner_serves_once_it_knows_the_roster_that_its_table_was_agreed_on() -> None:
+    rig = Owner()
+    heard: dict[str, Json] = {it: {"open": []} for it in STORES}
+    rig.shards.table_is({"owners": [["me", {"addr": "me"}]], "shards": [[0, 8, -1]], "roster": 5})
+    rig.answer("fence", heard)
+    assert not rig.shards.mine[0].serving
+    rig.spread.roster_is(rig.roster, 5)
+    rig.shards.roster_changed()
+    assert rig.shards.mine[0].serving
+
+
+@pytest.mark.parametrize("name", ["", "unfenced-drop"])
+def test_no_disk_is_dropped_while_a_store_may_take_puts_of_an_owner_of_before(name: str) -> None:
+    rig = Owner()
+    (last,) = (then for to, _, _, then in rig.world.asked if to == STORES[2])
+    rig.answer("fence", {it: {"open": []} for it in STORES[:2]})
+    rig.clock.run(1.0)
+    assert rig.shards.mine[0].serving
+    with mutated(name):
+        assert bool(rig.shards.unfenced) != bool(name)
+    last(Ok(Reply({"ok": True, "disk": STORES[2], "refused": {}, "open": []}, b"")))
+    rig.clock.run(2.0)
+    assert rig.shards.unfenced == 0
+
+
+def test_a_put_outlasts_a_disk_that_is_dropped_meanwhile() -> None:
+    rig = Owner()
+    rig.answer("fence", {it: {"open": []} for it in STORES})
+    said: list[Taken] = []
+    rig.shards.accept(fresh(), said.append)
+    first, second = (to for to, word, _, _ in rig.world.asked if word == "put")
+    (left,) = set(STORES) - {first, second}
+    rig.spread.roster_is({it: rig.roster[it] for it in STORES if it != left})
+    rig.clock.run(0.5)  # long enough to ask a further store
+    rig.answer("put", {first: {}, second: {}})
+    assert said == [Taken.HELD]
+
+
+def test_a_put_under_way_as_its_disk_is_emptied_leaves_nothing() -> None:
+    rig = Rig()
+    rig.put(1)
+    rig.store.news.offer("roster", [9], {})  # others have taken its place
+    while rig.disk.waiting:
+        rig.disk.decide(None)
+    assert rig.said == [{"early": True}]
+    assert rig.open() == []
+
+
+def _emptied(seed: int) -> list[Broken]:
+    """A store is emptied whose copies take their time."""
+    day = Day(seed, "quiet")
+    store = day.deployment.stores[0]
+    day.clients.load = replace(day.clients.load, delayed=0.9)
+
+    def slow() -> None:
+        for it in day.deployment.stores:
+            assert it.disk is not None, "stores have a disk"
+            it.disk.sync_s = 0.3
+
+    day.clock.later(7.2, slow)
+    day.clock.later(7.5, lambda: day.footing.empty(store))
+    return day.play()
+
+
+@pytest.mark.parametrize("name", ["", "retire-short", "blind-drop"])
+def test_a_store_is_called_empty_once_enough_copies_stand_elsewhere(name: str) -> None:
+    with mutated(name):
+        assert any(_emptied(seed) for seed in range(1, 4)) == bool(name)
+
+
+@pytest.mark.parametrize("name", ["", "last-short"])
+def test_no_disk_is_dropped_while_one_message_lacks_a_copy(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    rig = Leader(monkeypatch)
+    rig.core.book.roster["disk-c"]["state"] = "retiring"
+    rig.keep("a", "b", "c")
+    rig.proposed.clear()
+    edge = rig.session("edge", "edge", table=0, loading=0, short=1, roster=9)
+    with mutated(name):
+        rig.core._drop_disks({edge.id: edge})
+    assert bool(rig.proposed) == bool(name)
+
+
+def test_no_disk_is_dropped_while_a_store_that_counts_is_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    rig = Leader(monkeypatch)
+    rig.core.book.roster["disk-d"] = {**rig.core.book.roster["disk-c"], "name": "d", "state": "retiring"}
+    rig.keep("a", "b", "d")
+    rig.proposed.clear()
+    rig.drop()
+    assert rig.proposed == []
+    rig.keep("a", "b", "c", "d")
+    rig.proposed.clear()
+    rig.drop()
+    assert [it["drop"] for it in rig.proposed] == [["disk-d"]]
+
+
+@pytest.mark.parametrize(
+    ("seed", "aim"), [(1, "losses-stores"), (2, "losses-stores-zone"), (3, "losses-stores-region")]
+)
+def test_a_loss_right_after_each_repair_breaks_no_rule(seed: int, aim: str) -> None:
+    assert play(seed, aim) == []
+
+
+def test_copies_in_one_zone_are_found() -> None:
+    assert any(one(seed, "losses-stores-zone", "one-zone")[1] for seed in range(5, 20))
--- a/workshop/jig/days.py
+++ b/workshop/jig/days.py
@@ -11,12 +11,13 @@
 from workshop.jig.checker import Checker
 from workshop.jig.clients import Clients, Load
 from workshop.jig.control import FORMS, Control
-from workshop.jig.deployment import BOUNDS, RESTART_S, Deployment, Machine
+from workshop.jig.deployment import BOUNDS, ONE_MACHINE, RESTART_S, Deployment, Machine
 from workshop.jig.endpoints import Kind
 from workshop.jig.footing import Footing
 from workshop.jig.history import Broken
+from workshop.jig.losses import Losses, draw_site
 from workshop.jig.operator import Operator, route, service
-from workshop.vise import agree
+from workshop.vise import log
 
 TRAFFIC_S = 3.5  # machines start so long before traffic does
 AFTER_S = 10.0  # for what was accepted to be done
@@ -55,6 +56,12 @@
             size = self.size = replace(size, seconds=36.0, rate=20.0)
         elif aim == "control":
             size = self.size = replace(size, seconds=38.0, rate=10.0)
+        tolerance, regions, delayed = ONE_MACHINE, 1, 0.1
+        if aim.startswith("losses"):
+            site = draw_site(random.Random(f"{seed} site"), aim)
+            tolerance, regions = site.tolerance, site.regions
+            rate, delayed = (50.0, 0.7) if site.backlog else (20.0, 0.1)
+            size = self.size = Size(site.zones, site.edges, site.stores, site.cores, 50.0, rate)
         dedup = chance.random() < 0.4
         kinds = [
             Kind("alpha", 4, 0.06, False),
@@ -62,13 +69,15 @@
             Kind("gamma", 4, 0.05, dedup),
         ]
         heartbeat = 2.0 if aim == "drain" else chance.choice((1.0, 1.2, 2.0))
-        self.deployment = Deployment(seed, size.zones, size.edges, size.stores, size.cores, kinds, heartbeat)
+        self.deployment = Deployment(
+            seed, size.zones, size.edges, size.stores, size.cores, kinds, heartbeat, tolerance, regions
+        )
         self.history, self.clock = self.deployment.history, self.deployment.clock
-        rate = 5.0 if aim == "rate" else chance.choice((0.0, 0.0, 8.0))
+        ceiling = 5.0 if aim == "rate" else chance.choice((0.0, 0.0, 8.0))
         paths: tuple[str, ...] = ("/plain/", "/plain/", "/plain/", "/seq/", "/seq/", "/rated/")
         if aim == "rate":
             paths = ("/plain/", "/seq/", "/rated/", "/rated/")
-        load = Load(size.rate, paths, frozenset(("/seq/",)), chance.choice((4, 10, 30)))
+        load = Load(size.rate, paths, frozenset(("/seq/",)), chance.choice((4, 10, 30)), delayed)
         self.clients = Clients(self.deployment, load)
         first = {
             "routeTable": [
@@ -76,13 +85,21 @@
                 route("/seq/", "beta", True, rank=0),
                 route("/rated/", "gamma"),
             ],
-            "serviceTable": [service("alpha"), service("beta", dedup=dedup), service("gamma", rate, dedup)],
+            "serviceTable": [
+                service("alpha"),
+                service("beta", dedup=dedup),
+                service("gamma", ceiling, dedup),
+            ],
             "limits": {"maxHeaderBytes": 16384},
         }  # fmt: skip
         self.operator = Operator(self.deployment, first)
-        self.compact = agree.COMPACT  # entries in the core's log until a snapshot takes their place
-        self.footing = Footing(self)
+        self.compact = log.COMPACT  # entries in the core's log until a snapshot takes their place
+        self.footing = Losses(self) if aim.startswith("losses") else Footing(self)
         self.control = Control(self)
+        if delayed > 0.1:
+            for machine in self.deployment.stores:
+                assert machine.disk is not None, "stores have a disk"
+                machine.disk.sync_s = self.deployment.sync_s = 0.05
         if aim in ("closing", "core"):
             # Machines differ in what they have on disk at any moment.
             for machine in self.deployment.stores + self.deployment.cores:
@@ -105,7 +122,7 @@
 
     def play(self) -> list[Broken]:
         """Play the day; the rules that broke."""
-        with patch.object(agree, "COMPACT", self.compact):
+        with patch.object(log, "COMPACT", self.compact):
             return self._play()
 
     def _play(self) -> list[Broken]:
@@ -166,6 +183,10 @@
         system = aims.get(self.aim, system)
         if self.aim == "config":
             others = [self._changes]
+        if self.aim.startswith("losses"):
+            system = [lambda: 0.0]
+            others = [self._change, self._change, self._race, self.replace_endpoint, self._crash]
+            self.footing.begin(start, end - 2.0)
         if self.aim == "footing":
             others = [*others, self._edge_kill, self._edge_roll, self._edge_freeze]
             self.footing.begin(start, end - 2.0)
--- a/workshop/lathe/spread.py
+++ b/workshop/lathe/spread.py
@@ -17,9 +17,12 @@
 PUT_S = 1.2  # for enough stores to hold a message
 SUSPECT_S = 1.0  # a silent store is asked last for so long
 FULL_S = 3.0
+EARLY_S = 0.1  # for a store that is new to know who owns what
 MARK_S = 0.02  # ends are gathered for so long
 MARK_ANSWER_S = 0.5
-DARK_S = 0.15  # without an answer to anything until a store is taken for one that does not answer
+DARK_S = 0.15  # without an answer to anything until a store is taken for one that does not answer,
+SLOWER = 2.5  # or so many times what its slowest answers of late took
+FADES = 0.95  # with each answer
 PROBE_S = 0.1  # between questions to such a store
 AGAIN_S = 0.3  # between tries to tell a store that does not answer
 MARKS = 512  # in one message
@@ -56,22 +59,26 @@
         self.world, self.tolerance, self.zone, self.region = world, tolerance, zone, region
         self.status_s = status_s  # for how long an end is told
         self.stores: dict[str, StoreAt] = {}
+        self.index = 0  # of the roster
         self._suspect: dict[str, float] = {}
         self._marks: dict[str, dict[str, list[object]]] = {}  # by store: ends that it has not acknowledged
         self._telling: set[str] = set()
         self._unanswered: dict[str, float] = {}  # by store: the first ask since its last answer
+        self._took: dict[str, float] = {}  # by store: seconds that its slowest answers of late took
         self._probed: dict[str, float] = {}
+        self._full: dict[str, float] = {}  # by store: until when it is not asked to hold anything
         self.hedges = 0
 
-    def roster_is(self, roster: Json) -> None:
+    def roster_is(self, roster: Json, index: int = 0) -> None:
         """Take the roster: each store by its disk, since a machine that lost its own is another one."""
         self.stores = {
             disk: StoreAt(it["name"], it["addr"], it["zone"], it["region"], it["state"])
             for disk, it in roster.items()
         }
-        for known in (self._marks, self._unanswered, self._probed):
+        for known in (self._marks, self._unanswered, self._took, self._probed, self._full):
             for name in set(known) - set(self.stores):
                 del known[name]
+        self.index = index
 
     def _hold(self, disks: set[str]) -> bool:
         machines = {self.stores[disk].name: self.stores[disk].place for disk in disks if disk in self.stores}
@@ -87,26 +94,33 @@
         """Whether these disks tell of every message that is held: the others can't hold one alone."""
         return bool(heard & set(self.stores)) and not self._hold(set(self.stores) - heard)
 
-    def reachable(self) -> bool:
-        """Whether a message could be held now."""
+    def asked(self, name: str) -> float:
+        """A store is asked something, now."""
         now = self.world.now()
-        return self.enough({it for it in self._writable() if self._suspect.get(it, 0.0) <= now})
+        self._unanswered.setdefault(name, now)
+        return now
 
-    def asked(self, name: str) -> None:
-        """A store was asked something."""
-        self._unanswered.setdefault(name, self.world.now())
+    def full(self, name: str) -> None:
+        self._full[name] = self.world.now() + FULL_S
 
-    def answered(self, name: str) -> None:
+    def answered(self, name: str, asked: float) -> None:
+        """A store answered what it was asked then."""
         self._unanswered.pop(name, None)
+        self._took[name] = max(self.world.now() - asked, FADES * self._took.get(name, 0.0))
 
     def dark(self) -> bool:
-        """Whether too few stores answer anything: what is written now could only be given up on late.
+        """Whether too few stores answer and have room: what is written now could only be given up on late.
 
         A slow answer is no silence: on links that lose packets some answer always is.
         """
         now = self.world.now()
-        silent = {it for it in self._writable() if now - self._unanswered.get(it, now) > DARK_S}
-        if self.enough(set(self._writable()) - silent):
+        silent = {
+            it
+            for it in self._writable()
+            if now - self._unanswered.get(it, now) > max(DARK_S, SLOWER * self._took.get(it, 0.0))
+        }
+        full = {name for name, until in self._full.items() if until > now}
+        if self.enough(set(self._writable()) - silent - full):
             return False
         for name in silent:
             self._probe(name, now)
@@ -119,7 +133,7 @@
 
         def hear(reply: Result[Reply, Lost]) -> None:
             if isinstance(reply, Ok) and reply.ok_value.body.get("ok"):
-                self.answered(name)
+                self.answered(name, now)
             else:
                 self.world.later(PROBE_S, self._look_again)
 
@@ -198,7 +212,7 @@
         def hear(reply: Result[Reply, Lost]) -> None:
             self._telling.discard(name)
             if isinstance(reply, Ok):
-                self.answered(name)
+                self.answered(name, asked)
             if isinstance(reply, Ok) and reply.ok_value.body.get("ok"):
                 left = self._marks.get(name, {})
                 for row in rows:
@@ -209,7 +223,7 @@
             self._cover(name, rows)
             self.world.later(AGAIN_S, lambda: self._tell(name))
 
-        self.asked(name)
+        asked = self.asked(name)
         self.world.ask(store.address, "marks", {"marks": rows}, MARK_ANSWER_S, hear)
 
     def _cover(self, silent: str, rows: list[list[object]]) -> None:
@@ -276,11 +290,16 @@
             return
         for name in sorted(self.waiting):
             self.spread.suspect(name, HEDGE_S)
-        if self.left:
+        if self._left():
             self.spread.hedges += 1
             self._ask(self.left[0])
         self._watch()
 
+    def _left(self) -> list[str]:
+        """The stores that were not asked yet; one may have been dropped while this was under way."""
+        self.left = [name for name in self.left if name in self.spread.stores]
+        return self.left
+
     def _ask(self, name: str) -> None:
         self.left.remove(name)
         self.asked.add(name)
@@ -289,16 +308,18 @@
         store = self.spread.stores[name]
         body = self.message.body
         assert body is not None, "a message is kept with its body"
-        self.spread.asked(name)
+        asked = self.spread.asked(name)
         within = max(0.05, self.until - self.spread.world.now())
-        self.spread.world.ask(
-            store.address, "put", self.body, within, lambda reply: self._hear(name, reply), body
-        )
+
+        def hear(reply: Result[Reply, Lost]) -> None:
+            if isinstance(reply, Ok):
+                self.spread.answered(name, asked)
+            self._hear(name, reply)
+
+        self.spread.world.ask(store.address, "put", self.body, within, hear, body)
 
     def _hear(self, name: str, reply: Result[Reply, Lost]) -> None:
         self.waiting.discard(name)
-        if isinstance(reply, Ok):
-            self.spread.answered(name)
         if isinstance(reply, Err):
             self.unclear |= reply.err_value is not Lost.UNSENT
             self.spread.suspect(name, 0.3 if reply.err_value is not Lost.SILENT else SUSPECT_S)
@@ -312,13 +333,16 @@
         elif reply.ok_value.body.get("fenced"):
             self._end(Put.FENCED)
         else:
-            self.spread.suspect(name, FULL_S)
+            full = bool(reply.ok_value.body.get("full"))
+            self.spread.suspect(name, FULL_S if full else EARLY_S)
+            if full:
+                self.spread.full(name)
         if self.over:
             return
         if self.spread.enough(self.message.holders):
             self._end(Put.HELD)
         elif not self.spread.enough(self.message.holders | self.waiting):
-            if self.left:
+            if self._left():
                 self._ask(self.left[0])
             elif not self.waiting:
                 sure = not self.unclear and not self.message.holders
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -79,6 +79,7 @@
         self._short = False  # whether too few voters would be left after a loss
         self._missing: dict[str, float] = {}  # when an owner was first seen without a session
         self._first_seen: dict[str, float] = {}
+        self._silent: set[str] = set()  # disks whose stores have no session
         self._waits: list[tuple[int, Callable[[], None]]] = []  # for an index to be applied
         self._confirmed = -1e9  # when the newest question was asked that a majority has answered
         self._had_contact = False
@@ -139,6 +140,7 @@
             "shards": [
                 [place.get(str(it[0]), -1), it[1], place.get(str(it[2]), -1)] for it in self.book.shards
             ],
+            "roster": self.book.shards_roster,
         }
 
     def _cores(self) -> list[str]:
@@ -407,12 +409,13 @@
             place = {"name": name, "addr": session.address, "zone": session.zone, "region": session.region}
             # A store that loses its disk while it is emptied comes back as one that is still to be emptied.
             state = "retiring" if self.book.retired.get(name) == "in_progress" else "full"
-            if known is None or {**known, "at": 0} != {**place, "state": state, "at": 0}:
+            if known is None or {name: known[name] for name in place} != place or known["state"] != state:
                 changes[disk] = {**place, "state": state}
             for other, it in roster.items():
                 if it["name"] == name and other != disk and it["state"] != "lost":
                     changes[other] = {**it, "state": "lost"}  # its machine came back with another disk
         silent = {disk: it for disk, it in roster.items() if it["name"] not in stores}
+        self._silent = set(silent)
         for disk in set(roster) - set(silent):
             self._missing.pop(disk, None)
         here = {disk: it for disk, it in roster.items() if disk not in silent}
@@ -439,6 +442,8 @@
             return
         if not self._hold(self.book.roster):
             return  # nothing is short only because nothing can be held
+        if any(it["state"] == "full" and disk in self._silent for disk, it in self.book.roster.items()):
+            return  # its copies count, and may be gone: soon it is back, or they are made anew
         told = [edges[name].extra for name in owners]
         if any(it["table"] != self.book.shards_at or it["loading"] or it["short"] for it in told):
             return
--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -270,7 +270,7 @@
             and self.member.confirmed
             and self.routes.index > 0
             and bool(self.shards.table)
-            and self.spread.reachable()
+            and not self.spread.dark()
         )
         if ready != self._was_ready:
             self._was_ready = ready
@@ -537,8 +537,9 @@
     # -- copies that are lacking
 
     def _roster_is(self, index: int, roster: Json) -> None:
-        self.spread.roster_is(roster)
+        self.spread.roster_is(roster, index)
         self._roster, self._roster_since = index, self.world.now()
+        self.shards.roster_changed()
         self.short = {
             name: it for name, it in self.rack.messages.items() if not self.spread.enough(it.holders)
         }
@@ -550,7 +551,7 @@
         return {
             "roster": self._roster,
             "table": table[0][0] if table is not None else 0,
-            "loading": sum(1 for it in self.shards.mine.values() if not it.serving),
+            "loading": sum(1 for it in self.shards.mine.values() if not it.serving) + self.shards.unfenced,
             "short": len(self.short) + early,
         }
 
--- a/workshop/vise/book.py
+++ b/workshop/vise/book.py
@@ -51,7 +51,7 @@
         self.now = 0.0  # seconds
         self.hashes: dict[int, tuple[str, float]] = {}  # by edition: the call's hash, and when it was taken
         self.forgotten = 0  # the newest edition whose hash is kept no longer
-        self.roster: Json = {}  # by disk: name, addr, zone, region, state, at (of its state)
+        self.roster: Json = {}  # by disk: name, addr, zone, region, state, at (of it), table (as it came)
         self.roster_at = 0
         self.retired: Json = {}  # stores that were to be emptied: in_progress or completed
         self.owners: Json = {}  # owner's id (name/incarnation) -> name, addr, zone, region
@@ -59,6 +59,7 @@
             list[object]
         ] = []  # by number: owner's id, epoch, the owner before where it still lives
         self.shards_at = 0
+        self.shards_roster = 0  # the newest roster as shards were last given
         # Endpoints that are leaving, and those that have gone: when, and their sequence; the oldest first.
         self.leaving: dict[str, tuple[float, int]] = {}
         self.gone: dict[str, tuple[float, int]] = {}
@@ -126,7 +127,9 @@
         for disk, store in command.get("set", {}).items():
             before = roster.get(disk, {})
             at = before["at"] if before.get("state") == store["state"] else index
-            roster[disk] = {**store, "at": at}
+            # Owners of that table or newer ones know of it; older ones it must refuse by itself.
+            table = before.get("table", 0) if before else self.shards_at
+            roster[disk] = {**store, "at": at, "table": table}
         for disk in command.get("drop", []):
             gone = roster.pop(disk, None)
             if gone is not None and gone["state"] == "retiring":
@@ -154,7 +157,7 @@
             for number in numbers:
                 before = str(shards[number][0])
                 shards[number] = [owner, index, before if before in self.owners else ""]
-        self.shards, self.shards_at = shards, index
+        self.shards, self.shards_at, self.shards_roster = shards, index, self.roster_at
         return {"ok": True, "epoch": index}
 
     def _drain(self, index: int, command: Json) -> Json:
