Measure how load grows with hollow machines in one process

Change: `benchmarks.hollow` plays edges, stores and core machines, the decisions of the program itself, over a network that packs and reads frames as the belt does and counts messages, bytes, bytes between zones and processor time by role and cause: standing, sixteen control machines, changes of configuration, endpoints, joins, messages, restarts, leaders killed; and single steps, memory and the log's disk.

--- /dev/null
+++ b/benchmarks/hollow/net.py
@@ -0,0 +1,229 @@
+"""Hollow machines: many machines' decisions in one process, over a network that only counts.
+
+Time is virtual, as in `workshop.jig`, but nothing is lost and no disk holds anything: what is wanted is what
+each machine says, how many bytes the belt packs it into, and the processor time that its handlers take. A
+frame is packed by its sender and read by its receiver as the belt does it, so that both are in the figures;
+sockets, the kernel and the HTTP server are not.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from result import Err, Ok
+
+from workshop.belt.netstring import Reader, pack
+from workshop.jig.clock import Clock, Timer
+from workshop.ports import Called, Delivery, Json, Lost, Reply, Then, Verdict
+from workshop.settings import Settings, Tolerance
+
+SYNC_S = 0.002
+BOUNDS = {
+    "seedLagS": 3.0, "reuseAfterS": 2.0, "contactMs": 4000.0, "ackMs": 5000.0, "catchUpS": 4.5,
+    "drainMs": 3000.0, "graceS": 6.0, "configApplyMs": 3000.0, "completedS": 10.0, "statusTtlS": 120.0,
+    "earlyMs": 100.0, "ceilingWindowS": 5.0, "ceilingOver": 1.1,
+}  # fmt: skip
+
+
+@dataclass(slots=True)
+class Meter:
+    """What one machine did since the meter was set back."""
+
+    messages: int = 0  # sent, replies among them
+    sent: int = 0  # bytes of frames
+    heard: int = 0
+    across: int = 0  # bytes sent to another zone
+    words: defaultdict[str, list[int]] = field(default_factory=lambda: defaultdict(lambda: [0, 0]))
+    processor: defaultdict[str, float] = field(
+        default_factory=lambda: defaultdict(float)
+    )  # seconds, by cause
+
+
+class Host:
+    """One hollow machine."""
+
+    def __init__(self, net: HollowNet, role: str, name: str, zone: str, address: str) -> None:
+        self.net, self.role, self.name, self.zone, self.address = net, role, name, zone, address
+        self.machine: Any = None
+        self.over = False
+        self.meter = Meter()
+        self.spoke: set[str] = set()  # whom it has a connection with
+        self.reader = Reader()
+
+    def do(self, cause: str, act: Callable[[], None]) -> None:
+        """Have something happen in it, on its own bill."""
+        if self.over:
+            return
+        began = time.thread_time()
+        act()
+        self.meter.processor[cause] += time.thread_time() - began
+
+
+class HollowNet:
+    """The clock, the machines, and what is on its way."""
+
+    def __init__(self, seed: int = 1, within: float = 0.0002, between: float = 0.0009) -> None:
+        self.clock = Clock()
+        self.chance = random.Random(seed)
+        self.within, self.between = within, between
+        self.hosts: dict[str, Host] = {}
+        self.numbers = itertools.count(1)
+        self.asked: dict[int, tuple[Host, str, Then]] = {}
+
+    def delay(self, a: Host, b: Host) -> float:
+        return self.within if a.zone == b.zone else self.between
+
+    def send(self, source: Host, to: Host, word: str, data: bytes, hear: Callable[[], None]) -> None:
+        """Count a frame, and have it heard at the other end."""
+        meter = source.meter
+        meter.messages += 1
+        meter.sent += len(data)
+        to.meter.heard += len(data)
+        if source.zone != to.zone:
+            meter.across += len(data)
+        told = meter.words[word]
+        told[0] += 1
+        told[1] += len(data)
+        source.spoke.add(to.address)
+        to.spoke.add(source.address)
+        self.clock.later(self.delay(source, to), partial(to.do, word, hear))
+
+    def ended(self, number: int, why: Lost) -> None:
+        found = self.asked.pop(number, None)
+        if found is not None:
+            found[0].do("lost", lambda: found[2](Err(why)))
+
+    def kill(self, host: Host) -> None:
+        """A process ends: those that it spoke with hear of it."""
+        host.over = True
+        for address in sorted(host.spoke):
+            other = self.hosts[address]
+            other.spoke.discard(host.address)
+            self.clock.later(
+                self.delay(host, other), partial(other.do, "broken", partial(_broken, other, host))
+            )
+        for number, (_, to, _) in list(self.asked.items()):
+            if to == host.address:
+                self.clock.later(0.001, partial(self.ended, number, Lost.BROKEN))
+
+
+def _broken(host: Host, gone: Host) -> None:
+    if host.machine is not None:
+        host.machine.broken(gone.address)
+
+
+class HollowWorld:
+    """The world as a hollow machine sees it."""
+
+    def __init__(self, net: HollowNet, host: Host) -> None:
+        self.net, self.host = net, host
+        self.chance = random.Random(f"{host.address} {net.chance.random()}")
+
+    def now(self) -> float:
+        return self.net.clock.now
+
+    def wall(self) -> float:
+        return 1.79e9 + self.net.clock.now
+
+    def later(self, seconds: float, act: Callable[[], None]) -> Timer:
+        timer = Timer(act)
+        cause = getattr(act, "__qualname__", "timer").replace(".<locals>", "")
+        self.net.clock.later(seconds, partial(self.host.do, cause, timer.fire))
+        return timer
+
+    def tell(self, to: str, word: str, body: Json, blob: bytes = b"") -> None:
+        self._send(None, to, word, body, blob)
+
+    def ask(self, to: str, word: str, body: Json, within: float, then: Then, blob: bytes = b"") -> None:
+        number = next(self.net.numbers)
+        self.net.asked[number] = self.host, to, then
+        self.net.clock.later(within, partial(self.net.ended, number, Lost.SILENT))
+        self._send(number, to, word, body, blob)
+
+    def _send(self, number: int | None, to: str, word: str, body: Json, blob: bytes) -> None:
+        net, here = self.net, self.host
+        there = net.hosts.get(to)
+        if there is None or there.over:
+            if number is not None:
+                net.clock.later(net.between, partial(net.ended, number, Lost.UNSENT))
+            return
+        head: Json = {"w": word, "b": body} if number is None else {"w": word, "b": body, "n": number}
+        data = pack(head, blob)
+
+        def respond(said: Json, blob: bytes = b"") -> None:
+            if number is None:
+                return
+            back = pack({"n": number, "b": said}, blob)
+
+            def take() -> None:
+                found = net.asked.pop(number, None)
+                ((head, blob),) = here.reader.feed(back)
+                if found is not None:
+                    found[2](Ok(Reply(head["b"], blob)))
+
+            net.send(there, here, f"{word} reply", back, take)
+
+        def hear() -> None:
+            ((head, blob),) = there.reader.feed(data)
+            handler = there.machine.words.get(word)
+            if handler is not None:
+                handler(head["b"], blob, here.address, respond)
+
+        net.send(here, there, word, data, hear)
+
+
+class HollowDisk:
+    """A disk that takes all, two milliseconds later, and gives nothing back."""
+
+    def __init__(self, net: HollowNet, host: Host) -> None:
+        self.net, self.host = net, host
+
+    def write(self, rows: list[tuple[str, tuple[Any, ...]]], then: Callable[[str | None], None]) -> None:
+        self.net.clock.later(SYNC_S, partial(self.host.do, "written", lambda: then(None)))
+
+    def read(self, names: list[str], then: Callable[[dict[str, bytes]], None]) -> None:
+        self.net.clock.later(SYNC_S, partial(self.host.do, "read", lambda: then({})))
+
+
+class Prompt:
+    """Endpoints that do what they are called for within five milliseconds."""
+
+    def __init__(self, net: HollowNet, host: Host) -> None:
+        self.net, self.host = net, host
+
+    def call(self, delivery: Delivery, then: Callable[[Called], None]) -> None:
+        headers = (("amberlug-attempt-id", delivery.attempt), ("amberlug-server-seal", "0123456789abcdef"))
+        done = Called(Verdict.ANSWERED, 200, headers)
+        self.net.clock.later(0.005, partial(self.host.do, "answered", partial(then, done)))
+
+    def idle(self, address: str) -> int:
+        return 0
+
+    def forget(self, address: str) -> None:
+        pass
+
+
+def settings(host: Host, seeds: list[str]) -> Settings:
+    """The settings file of a hollow machine."""
+    ip = host.address.rpartition(":")[0]
+    control = (ip, 7000) if host.role == "core" else None
+    return Settings(
+        host.name, ip, host.zone, "r", frozenset(), host.role, None, None, control, range(7300, 7316),
+        tuple((it, 7000) for it in seeds), True, None, 1.0, Tolerance(1, 0, 0), 300.0, 360.0, BOUNDS,
+    )  # fmt: skip
+
+
+@contextmanager
+def processor(into: list[float], times: int = 1) -> Iterator[None]:
+    """Append the processor seconds that the block took, for one of `times`."""
+    began = time.thread_time()
+    yield
+    into.append((time.thread_time() - began) / times)
--- /dev/null
+++ b/benchmarks/hollow/plays.py
@@ -0,0 +1,262 @@
+"""What whole deployments of hollow machines cost: standing, changed, killed."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+
+from benchmarks.hollow.deployment import Play, beat, config
+from benchmarks.hollow.figures import Figure, by_cause, summed, upto
+from benchmarks.hollow.net import Host, Meter
+from workshop.jig.clients import HOST
+from workshop.jig.deployment import Request
+from workshop.ports import Json
+from workshop.vise.agree import Role
+
+SETTLE_S = 6.0  # virtual, from the start until figures are taken
+SPAN_S = 4.0  # virtual, for which they are taken
+SIZES = (30, 100, 300, 1000, 3000)
+
+
+def standing(most: int) -> Iterator[Figure]:
+    """Nothing happens but what always does: beats, sessions, digests; and what the start cost before."""
+    for edges in (it for it in SIZES if it <= most):
+        play = Play(edges)
+        began = play.measure(SETTLE_S)
+        yield from (
+            Figure("start", "edges", edges, it.role, it.name.replace("/s", ""), it.value * SETTLE_S)
+            for it in summed("start", "edges", edges, began, SETTLE_S)
+        )
+        play.configure(1000)
+        play.run(2.0)
+        meters = play.measure(SPAN_S)
+        yield from summed("standing", "edges", edges, meters, SPAN_S)
+        yield from by_cause("standing", "edges", edges, meters, SPAN_S)
+        yield Figure("standing", "edges", edges, "edge", "owners of shards", _owners(play))
+
+
+def _owners(play: Play) -> int:
+    return len({it[0] for it in play.cores[0].machine.book.shards})
+
+
+def sixteen(most: int) -> Iterator[Figure]:
+    """The same as `standing`, with sixteen control machines."""
+    for edges in (it for it in SIZES if 100 <= it <= max(most, 100)):
+        play = Play(edges, cores=16)
+        play.run(SETTLE_S)
+        play.configure(1000)
+        play.run(2.0)
+        meters = play.measure(SPAN_S)
+        yield from summed("standing, 16 control machines", "edges", edges, meters, SPAN_S)
+        yield from by_cause("standing, 16 control machines", "edges", edges, {"core": meters["core"]}, SPAN_S)
+
+
+def configs(most: int) -> Iterator[Figure]:
+    """One change of configuration of some size: what it costs beyond the standing load."""
+    for size in (1_000, 20_000, 200_000):
+        for edges in (it for it in SIZES if it <= min(most, 1000)):
+            play = Play(edges)
+            play.run(SETTLE_S)
+            play.configure(size)
+            play.run(2.0)
+            still = play.measure(SPAN_S)
+            for host in play.net.hosts.values():
+                host.meter = Meter()
+            began = play.net.clock.now
+            told = {**config(size), "edition": play.edition + 1}
+            answers = play.order(play.cores[0], "POST", "/-/Configuration.Replace", told, play.edition)
+            play.edition += 1
+            acked = force = 0.0
+            while play.net.clock.now < began + SPAN_S:
+                play.run(0.002)
+                now = play.net.clock.now - began
+                acked = acked or (now if answers else 0.0)
+                force = force or (now if play.in_force() == edges else 0.0)
+            after: dict[str, list[Meter]] = {}
+            for host in play.net.hosts.values():
+                after.setdefault(host.role, []).append(host.meter)
+            base = {(it.role, it.name): it.value for it in summed("", "", 0, still, SPAN_S)}
+            for it in summed("", "", 0, after, SPAN_S):
+                more = max(0.0, (it.value - base[it.role, it.name]) * SPAN_S)
+                yield Figure(f"config {size}", "edges", edges, it.role, it.name.replace("/s", ""), more)
+            yield Figure(f"config {size}", "edges", edges, "operator", "virtual s to ack", acked)
+            yield Figure(f"config {size}", "edges", edges, "operator", "virtual s in force", force)
+
+
+def endpoints(most: int) -> Iterator[Figure]:
+    """Endpoints that beat once a second at the core machine that they are told of."""
+    for count in upto((100, 1000, 10_000), most):
+        play = Play(10)
+        play.run(SETTLE_S)
+        play.configure(1000)
+        first = _beats(play, count, 0)
+        yield Figure("endpoints", "endpoints", count, "core", "bytes sent at first", first)
+        play.run(1.0)
+        play.measure(0.0)
+        _beats(play, count, 1, SPAN_S)
+        meters = {"core": [it.meter for it in play.cores], "edge": [it.meter for it in play.edges]}
+        yield from summed("endpoints", "endpoints", count, meters, SPAN_S)
+        yield from by_cause("endpoints", "endpoints", count, {"core": meters["core"]}, SPAN_S)
+
+
+def _beats(play: Play, count: int, sequence: int, seconds: float = 1.0) -> float:
+    """Let all endpoints beat once a second; bytes that a core machine sent meanwhile."""
+    before = sum(it.meter.sent for it in play.cores)
+    step = 0.02
+    sequence *= 100
+    for turn in range(round(seconds / step)):
+        each = round(1 / step)
+        for number in range(turn % each, count, each):
+            host = play.cores[number % len(play.cores)]
+            play.order(
+                host, "POST", f"/-/Instances.Announce/e{number}", beat(number, sequence + turn // each + 1)
+            )
+        play.run(step)
+    return (sum(it.meter.sent for it in play.cores) - before) / len(play.cores)
+
+
+def joins(most: int) -> Iterator[Figure]:
+    """An edge that starts anew hears of all endpoints."""
+    for count in upto((100, 1000, 10_000), most):
+        play = Play(10)
+        play.run(SETTLE_S)
+        play.configure(1000)
+        _beats(play, count, 0)
+        play.run(1.0)
+        host = play.edges[0]
+        play.net.kill(host)
+        play.run(1.0)
+        host.meter = Meter()
+        play.start(host)
+        for turn in range(4):
+            _beats(play, count, turn + 1)
+        told = host.meter
+        yield Figure("an edge joins", "endpoints", count, "edge", "bytes heard", told.heard)
+        yield Figure("an edge joins", "endpoints", count, "edge", "processor s", sum(told.processor.values()))
+        items = play.cores[0].machine.news.everything()
+        size = len(json.dumps({"ok": True, "items": items}, separators=(",", ":")))
+        yield Figure("an edge joins", "endpoints", count, "core", "bytes of all news in one frame", size)
+
+
+def messages(most: int) -> Iterator[Figure]:
+    """Messages that are taken in, kept by two stores, called and ended, without HTTP and without disks."""
+    for rate in (100, 300, 1000):
+        play = Play(4)
+        play.run(SETTLE_S)
+        play.configure(1000)
+        _beats(play, 20, 0)
+        play.run(1.0)
+        still = play.measure(2.0)
+        base = {(it.role, it.name): it.value for it in summed("", "", 0, still, 2.0)}
+        for host in play.net.hosts.values():
+            host.meter = Meter()
+        done: list[int] = []
+        count = 0
+        for _ in range(round(2.0 / 0.01)):
+            for host in play.edges:
+                for _ in range(max(1, rate // 100)):
+                    count += 1
+                    _send(host, count, done)
+            play.run(0.01)
+        held = sum(1 for it in done if it == 202)
+        after = {
+            "edge": [it.meter for it in play.edges],
+            "store": [it.meter for it in play.stores],
+            "core": [it.meter for it in play.cores],
+        }
+        yield Figure("messages", "a second and edge", rate, "edge", "part taken", held / count)
+        for it in summed("", "", 0, after, 2.0):
+            many = len(after[it.role]) * 2.0 / count
+            name = it.name.replace("/s", "") + " a message, all machines of the role"
+            each = max(0.0, it.value - base[it.role, it.name]) * many
+            yield Figure("messages", "a second and edge", rate, it.role, name, each)
+
+
+def _send(host: Host, number: int, done: list[int]) -> None:
+    headers = (("host", HOST), ("amberlug-attempt-id", f"a{number}"))
+    request = Request("POST", f"/p00000/{number}", headers, bytes(1000))
+
+    def finish(status: int, body: Json | None, more: tuple[tuple[str, str], ...], blob: bytes) -> None:
+        done.append(status)
+
+    host.do("handle", lambda: host.machine.handle(request, finish))
+
+
+def restarts(most: int) -> Iterator[Figure]:
+    """Some edges are killed at once and start anew a second later."""
+    for edges in (it for it in SIZES if it <= min(most, 1000)):
+        for killed in (1, 5, 20):
+            play = Play(edges)
+            play.run(SETTLE_S)
+            play.configure(1000)
+            play.run(2.0)
+            still = play.measure(SPAN_S)
+            base = {(it.role, it.name): it.value for it in summed("", "", 0, still, SPAN_S)}
+            before = [it[0] for it in play.cores[0].machine.book.shards]
+            for host in play.net.hosts.values():
+                host.meter = Meter()
+            for host in play.edges[:killed]:
+                play.net.kill(host)
+            play.run(1.0)
+            for host in play.edges[:killed]:
+                play.start(host)
+            play.run(SPAN_S - 1.0)
+            after: dict[str, list[Meter]] = {}
+            for host in play.net.hosts.values():
+                after.setdefault(host.role, []).append(host.meter)
+            for it in summed("", "", 0, after, SPAN_S):
+                more = max(0.0, (it.value - base[it.role, it.name]) * SPAN_S)
+                name = it.name.replace("/s", "")
+                yield Figure(f"restart of {killed}", "edges", edges, it.role, name, more)
+            now = play.cores[0].machine.book.shards
+            moved = sum(1 for was, it in zip(before, now, strict=True) if was != it[0])
+            yield Figure(f"restart of {killed}", "edges", edges, "core", "shards moved", moved)
+
+
+def failovers(most: int) -> Iterator[Figure]:
+    """The leader is killed: virtual time until a change is acknowledged, by the delay between zones."""
+    for one_way_ms in (1, 25, 50, 125, 180):
+        for cores in (3, 5):
+            play = Play(10, cores=cores, between=one_way_ms / 1000)
+            play.run(SETTLE_S)
+            bench = f"leader killed, {cores} core machines"
+            of = "ms one way between zones"
+            play.configure(1000)
+            terms = max(it.machine.vise.term for it in play.cores)
+            began = play.net.clock.now
+            answers: list[int] = []
+            while not answers and play.net.clock.now < began + 5.0:
+                if not answers:
+                    told = {**config(1000), "edition": play.edition + 1}
+                    answers = play.order(
+                        play.cores[0], "POST", "/-/Configuration.Replace", told, play.edition
+                    )
+                    play.run(1.0)
+            play.edition += answers == [200]
+            play.run(20.0)
+            more = max(it.machine.vise.term for it in play.cores) - terms
+            yield Figure(bench, of, one_way_ms, "core", "terms in 20 calm s", more)
+            leader = next((it for it in play.cores if it.machine.vise.role is Role.LEADER), None)
+            if leader is None:
+                continue
+            play.net.kill(leader)
+            rest = [it for it in play.cores if it is not leader]
+            began, elected = play.net.clock.now, 0.0
+            told = {**config(1000), "edition": play.edition + 1}
+            tries: list[list[int]] = []
+            while not any(200 in it for it in tries) and play.net.clock.now < began + 10.0:
+                tries.append(
+                    play.order(
+                        rest[len(tries) % len(rest)], "POST", "/-/Configuration.Replace", told, play.edition
+                    )
+                )
+                for _ in range(10):
+                    play.run(0.01)
+                    if not elected and any(it.machine.vise.role is Role.LEADER for it in rest):
+                        elected = play.net.clock.now - began
+                    if any(200 in it for it in tries):
+                        break
+            yield Figure(bench, of, one_way_ms, "core", "virtual s to a leader", elected)
+            yield Figure(
+                bench, of, one_way_ms, "operator", "virtual s to the next ack", play.net.clock.now - began
+            )
--- /dev/null
+++ b/benchmarks/hollow/steps.py
@@ -0,0 +1,358 @@
+"""What single steps cost that grow with a deployment, and what is kept takes of memory and disk."""
+
+from __future__ import annotations
+
+import gc
+import json
+import tempfile
+import threading
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from benchmarks.hollow.deployment import STORES, ZONES, beat, config
+from benchmarks.hollow.figures import Figure, upto
+from benchmarks.hollow.net import HollowDisk, HollowNet, HollowWorld, Host, Prompt, processor, settings
+from workshop.belt.netstring import pack
+from workshop.chest.drawer import Contents, Kept
+from workshop.crib.cell import Cell
+from workshop.crib.check import check, parse
+from workshop.crib.sessions import Sessions
+from workshop.hatch.routes import build
+from workshop.lathe.endpoints import Pool
+from workshop.lathe.message import Message
+from workshop.lathe.rack import Rack
+from workshop.machine.core import Core, blank
+from workshop.machine.edge import Edge
+from workshop.machine.store import Store
+from workshop.ports import Json
+from workshop.vise.book import SHARDS, Book, digest
+from workshop.vise.sharing import share_out
+from workshop.vise.shelf import open_shelf
+from workshop.whistle.news import News
+
+
+def _room(make: Callable[[], object]) -> tuple[object, int]:
+    """What is made, and the bytes of memory that it takes."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return made, size
+
+
+def _alone(role: str) -> tuple[HollowNet, Host, HollowWorld]:
+    net = HollowNet()
+    host = net.hosts["10.1.0.1:7300"] = Host(net, role, f"{role}-0", "z0", "10.1.0.1:7300")
+    return net, host, HollowWorld(net, host)
+
+
+def message(number: int, body: int) -> Message:
+    """One that is not due for a day."""
+    name = f"{number % SHARDS:x}-a{number:012d}"
+    held = Message(
+        name, number % SHARDS, f"a{number:012d}", "host.example", "POST", f"/p00000/{number}", "r-p00000", "",
+        1.79e9, 1.79e9 + 86400.0, (("content-type", "application/json"),), bytes(body), body, (7, number),
+    )  # fmt: skip
+    held.holders, held.asked = {"disk-store-1", "disk-store-2"}, {"disk-store-1", "disk-store-2"}
+    return held
+
+
+def _hold(world: HollowWorld, many: int, body: int) -> Rack:
+    rack = Rack(world, lambda it: None)
+    for it in range(many):
+        rack.add(message(it, body))
+    return rack
+
+
+def owner(most: int) -> Iterator[Figure]:
+    """Messages that one owner holds open, and what walks over all of them."""
+    for count in upto((1000, 10_000, 100_000), most):
+        _, host, world = _alone("edge")
+        edge = Edge(world, settings(host, ["10.1.0.1"]), host.address, Prompt(world.net, host))
+        edge.news.offer("config", [1], config(1000))
+        stores = {
+            f"disk-store-{it}": {
+                "name": f"store-{it}", "addr": f"10.2.0.{it}:7300", "zone": "z0", "region": "r",
+                "state": "full", "at": 1,
+            }
+            for it in range(STORES)
+        }  # fmt: skip
+        edge.news.offer("roster", [1], stores)
+        for body in (0, 1000):
+            rack, size = _room(partial(_hold, world, count, body))
+            name = f"bytes of memory, bodies of {body}"
+            yield Figure("owner", "open messages", count, "edge", name, size)
+            assert isinstance(rack, Rack)
+        for it in range(count):
+            edge._take(message(it, 0))
+        for what, act in (
+            ("sweep of what is too old", edge._sweep),
+            ("new configuration", partial(edge._config_is, build(2, {**config(1000), "edition": 2}))),
+            ("new roster", partial(edge._roster_is, 2, stores)),
+            ("one shard given away", partial(edge._release, 0)),
+        ):
+            spent: list[float] = []
+            with processor(spent):
+                act()
+            yield Figure("owner", "open messages", count, "edge", f"processor s, {what}", spent[0])
+
+
+def fence(most: int) -> Iterator[Figure]:
+    """What a store holds open of one shard is read by its next owner, in one answer."""
+    for count in upto((1000, 10_000, 40_000), most):
+        net, host, world = _alone("store")
+        contents = Contents("disk-store-0")
+
+        def fill(contents: Contents, many: int) -> None:
+            for it in range(many):
+                kept = message(it, 1000)
+                meta = json.loads(json.dumps(kept.meta()))
+                contents.kept[kept.id] = Kept(0, 7, it, meta, 1000)
+
+        size = _room(partial(fill, contents, count))[1]
+        yield Figure("store", "open messages", count, "store", "bytes of memory", size)
+        store = Store(world, settings(host, ["10.1.0.1"]), host.address, HollowDisk(net, host), contents)
+        answers: list[tuple[Json, bytes]] = []
+        spent: list[float] = []
+        with processor(spent):
+            fences = {"shards": {"0": 8}}
+            store.on_fence(fences, b"", "10.3.0.1:7300", lambda *said, to=answers: to.append(said))
+            net.clock.run(1.0)
+        yield Figure("store", "open messages", count, "store", "processor s, a fence", spent[0])
+        text = len(json.dumps(answers[0][0], separators=(",", ":")))
+        yield Figure("store", "open messages", count, "store", "bytes of a fence's answer", text)
+        fits = 1.0
+        try:
+            pack({"n": 1, "b": answers[0][0]}, answers[0][1])
+        except ValueError:
+            fits = 0.0
+        yield Figure("store", "open messages", count, "store", "fence's answer fits a frame", fits)
+
+
+def parts(most: int) -> Iterator[Figure]:
+    """Single steps that grow with the deployment."""
+    yield from _config_steps()
+    yield from _session_steps()
+    yield from _endpoint_steps()
+    yield from _pick_steps()
+    yield from _shard_steps()
+    yield from _drain_steps()
+
+
+def _timed(times: int, act: Callable[[], object]) -> float:
+    spent: list[float] = []
+    act()
+    with processor(spent, times):
+        for _ in range(times):
+            act()
+    return spent[0]
+
+
+def _config_steps() -> Iterator[Figure]:
+    for size in (1_000, 20_000, 200_000, 1_000_000):
+        whole = config(size)
+        text = json.dumps(whole).encode()
+        news = {"w": "news", "b": {"items": [("config", [1], whole)]}}
+        steps: dict[str, Callable[[], object]] = {
+            "parse": partial(parse, text),
+            "check": partial(check, whole),
+            "digest": partial(digest, whole),
+            "pack": partial(pack, news),
+            "read": partial(json.loads, text),
+            "build at an edge": partial(build, 1, whole),
+        }
+        for name, act in steps.items():
+            spent = _timed(3, act)
+            yield Figure("steps", "bytes of configuration", len(text), "step", f"processor s, {name}", spent)
+        room = _room(partial(_known, text))[1]
+        yield Figure("steps", "bytes of configuration", len(text), "edge", "bytes of memory", room)
+
+
+def _known(text: bytes) -> object:
+    whole = json.loads(text)
+    return whole, build(1, whole)
+
+
+def _session_body(number: int) -> Json:
+    return {
+        "name": f"edge-{number}", "incarnation": f"19f0a1b2c3d{number:04x}",
+        "address": f"10.3.0.{number}:7300",
+        "machine_class": "edge", "zone": f"z{number % ZONES}", "region": "r", "state": "up",
+        "extra": {"roster": 7, "table": 12, "loading": 0, "short": 0},
+    }  # fmt: skip
+
+
+def _session_steps() -> Iterator[Figure]:
+    for count in (100, 1000, 10_000):
+
+        def fill(many: int) -> Sessions:
+            sessions = Sessions()
+            for it in range(many):
+                sessions.hello(json.loads(json.dumps(_session_body(it))), 1.0)
+            return sessions
+
+        sessions, room = _room(partial(fill, count))
+        assert isinstance(sessions, Sessions)
+        yield Figure("steps", "sessions", count, "core", "bytes of memory", room)
+        rows = sessions.report(1.1)
+        size = len(pack({"w": "sessions", "b": {"rows": rows, "seen": []}}))
+        yield Figure("steps", "sessions", count, "core", "bytes of a report", size)
+        steps: dict[str, Callable[[], object]] = {
+            "report": partial(sessions.report, 1.1),
+            "told": partial(sessions.told, "x", rows, 1.1),
+            "members": partial(sessions.members, 1.1),
+        }
+        for name, act in steps.items():
+            yield Figure("steps", "sessions", count, "step", f"processor s, {name}", _timed(3, act))
+
+
+def _endpoint_steps() -> Iterator[Figure]:
+    for count in (1000, 10_000, 100_000):
+        _, _, world = _alone("core")
+
+        def fill(many: int, world: HollowWorld) -> Cell:
+            cell = Cell(world, News(world, list, lambda key, value: None), 1.0)
+            for it in range(many):
+                cell.announced(f"endpoint-{it}", json.loads(json.dumps(beat(it, 1))))
+            return cell
+
+        cell, room = _room(partial(fill, count, world))
+        assert isinstance(cell, Cell)
+        yield Figure("steps", "endpoints", count, "core", "bytes of memory", room)
+        items = {key: item[1] for key, item in cell.news.items.items()}
+        said = beat(0, 2)
+
+        def pool(items: dict[str, Any], world: HollowWorld) -> Pool:
+            known = Pool("z0", world.chance, lambda address: 0)
+            for key, value in items.items():
+                known.heard(key, value, 1.0)
+            return known
+
+        made, room = _room(partial(pool, items, world))
+        del made
+        yield Figure("steps", "endpoints", count, "edge", "bytes of memory beside the news", room)
+        report = sorted(cell.beaten)
+        yield Figure(
+            "steps", "endpoints", count, "core", "bytes of a report of beats",
+            len(pack({"w": "sessions", "b": {"rows": [], "seen": report}})),
+        )  # fmt: skip
+        versions = {key: item[0] for key, item in cell.news.items.items()}
+        yield Figure(
+            "steps", "endpoints", count, "edge", "bytes of versions for one gap",
+            len(json.dumps({"versions": versions}, separators=(",", ":"))),
+        )  # fmt: skip
+        steps: dict[str, Callable[[], object]] = {
+            "sweep": partial(cell.sweep, lambda name: None),
+            "heard elsewhere": partial(cell.heard_elsewhere, report),
+            "one beat": partial(cell.announced, "endpoint-0", said),
+        }
+        for name, act in steps.items():
+            yield Figure("steps", "endpoints", count, "step", f"processor s, {name}", _timed(3, act))
+
+
+def _pick_steps() -> Iterator[Figure]:
+    for count in (10, 100, 1000, 10_000):
+        _, _, world = _alone("edge")
+        known = Pool("z0", world.chance, lambda address: 1)
+        for it in range(count):
+            value = {
+                "service": "s",
+                "addr": f"a{it}",
+                "zone": "z0",
+                "slots": 8,
+                "cond": "ready",
+                "warm_ms": 0,
+            }
+            known.heard(f"endpoint-{it}", value, 0.0)
+        spent = _timed(20, partial(known.pick, "s", 1.0))
+        yield Figure(
+            "steps", "endpoints of a service", count, "step", "processor s, which gets a call", spent
+        )
+
+
+def _shard_steps() -> Iterator[Figure]:
+    for edges, shards in (
+        (100, 256),
+        (1000, 256),
+        (16_000, 256),
+        (1000, 4096),
+        (4000, 16_384),
+        (16_000, 65_536),
+    ):
+        live = [f"edge-{it}/19f0a1b2c3d{it:04x}" for it in range(edges)]
+        owners = [live[it % edges] for it in range(shards)]
+        spent = _timed(1, partial(share_out, owners, live[1:], shards))
+        bench = "steps" if shards == 256 else "steps, 4 shards an edge"
+        yield Figure(bench, "edges", edges, "step", "processor s, share_out", spent)
+        book = Book()
+        place = {"name": "edge-00000", "addr": "10.3.0.100:7300", "zone": "z0", "region": "r"}
+        held = sorted(set(owners))
+        book.apply(1, {"do": "give", "owners": dict.fromkeys(held, place), "give": {}})
+        at = {name: number for number, name in enumerate(held)}
+        table = {
+            "owners": [[name, book.owners[name]] for name in held],
+            "shards": [[at[name], 123456, -1] for name in owners],
+        }
+        yield Figure(bench, "edges", edges, "core", "bytes of the table", len(pack({"b": table}, b"")) if (
+            len(json.dumps(table)) < 8 << 20) else len(json.dumps(table, separators=(",", ":"))))  # fmt: skip
+
+
+def _drain_steps() -> Iterator[Figure]:
+    for count in (256, 1024, 4096):
+        book = Book()
+        ids = [[f"endpoint-{it}", 2, it] for it in range(count)]
+        book.apply(1, {"do": "drain", "ids": ids})
+        spent = _timed(3, partial(book.apply, 2, {"do": "drain", "ids": [["endpoint-0", 2, 0]]}))
+        yield Figure("steps", "drains kept", count, "step", "processor s, one more drain", spent)
+        _, host, world = _alone("core")
+        told = settings(host, ["10.1.0.1"])
+        core = Core(
+            world, told, host.address, HollowDisk(world.net, host), blank(told, world.chance.getrandbits)
+        )
+        core.book.apply(1, {"do": "drain", "ids": ids})
+        core._changed()
+        spent = _timed(3, core._changed)
+        yield Figure("steps", "drains kept", count, "step", "processor s, one entry's _changed", spent)
+        size = len(json.dumps(book.to_json(), separators=(",", ":")))
+        yield Figure("steps", "drains kept", count, "core", "bytes of a snapshot", size)
+
+
+def log(most: int) -> Iterator[Figure]:
+    """The log's own disk: entries one after the other and 64 at once, and snapshots."""
+    for size in (1_000, 20_000, 200_000):
+        for at_once in (1, 64):
+            rate = _written([("entry", (it + 1, 1, {"do": "config", "config": config(size)})) for it in range(
+                64 if size > 100_000 else 192)], at_once)  # fmt: skip
+            yield Figure(f"log, {at_once} at once", "bytes of an entry", size, "core", "entries/real s", rate)
+        state = {"config": config(size), "drains": {f"endpoint-{it}": [2, it] for it in range(4096)}}
+        rate = _written([("snap", (it, 1, state, {})) for it in range(8)], 1)
+        yield Figure("log", "bytes of configuration", size, "core", "real s of a snapshot", 1 / rate)
+
+
+def _release(synced: threading.Semaphore, error: str | None) -> None:
+    synced.release()
+
+
+def _written(rows: list[tuple[str, tuple[Any, ...]]], at_once: int) -> float:
+    """Rows a second, so many of them waiting at a time; real time on this machine's disk."""
+    with tempfile.TemporaryDirectory(dir=".") as folder:
+        told = settings(_alone("core")[1], ["10.1.0.1"])
+        _, cabinet, _ = open_shelf(
+            Path(folder) / "log", lambda: blank(told, lambda bits: 1), lambda act: act()
+        )
+        began = time.perf_counter()
+        for at in range(0, len(rows), at_once):
+            synced = threading.Semaphore(0)
+            batch = rows[at : at + at_once]
+            for row in batch:
+                cabinet.write([row], partial(_release, synced))
+            for _ in batch:
+                synced.acquire()
+        spent = time.perf_counter() - began
+        cabinet.close()
+    return len(rows) / spent
