Measure drains, all things together, and what walks over all stores

Change: a bench with ten endpoints an edge, silent endpoints and restarts at once; one of drains; steps over the roster.

--- a/benchmarks/hollow/__main__.py
+++ b/benchmarks/hollow/__main__.py
@@ -30,6 +30,8 @@
     "sixteen": plays.sixteen,
     "config": plays.configs,
     "endpoints": plays.endpoints,
+    "together": plays.together,
+    "drains": plays.drains,
     "joins": plays.joins,
     "messages": plays.messages,
     "failovers": plays.failovers,
@@ -37,6 +39,7 @@
     "owner": steps.owner,
     "fence": steps.fence,
     "parts": steps.parts,
+    "stores": steps.stores,
     "log": steps.log,
 }
 
--- a/benchmarks/hollow/plays.py
+++ b/benchmarks/hollow/plays.py
@@ -99,7 +99,7 @@
         yield from by_cause("endpoints", "endpoints", count, {"core": meters["core"]}, SPAN_S)
 
 
-def _beats(play: Play, count: int, sequence: int, seconds: float = 1.0) -> float:
+def _beats(play: Play, count: int, sequence: int, seconds: float = 1.0, without: range = range(0)) -> float:
     """Let all endpoints beat once a second; bytes that a core machine sent meanwhile."""
     before = sum(it.meter.sent for it in play.cores)
     step = 0.02
@@ -107,6 +107,8 @@
     for turn in range(round(seconds / step)):
         each = round(1 / step)
         for number in range(turn % each, count, each):
+            if number in without:
+                continue
             host = play.cores[number % len(play.cores)]
             play.order(
                 host, "POST", f"/-/Instances.Announce/e{number}", beat(number, sequence + turn // each + 1)
@@ -115,6 +117,59 @@
     return (sum(it.meter.sent for it in play.cores) - before) / len(play.cores)
 
 
+def together(most: int) -> Iterator[Figure]:
+    """Ten endpoints for each edge; a tenth fall silent and come back, a tenth of the edges restart."""
+    for edges in (it for it in (30, 100, 300) if it <= most):
+        play = Play(edges)
+        play.run(SETTLE_S)
+        play.configure(20_000)
+        for host in play.net.hosts.values():
+            host.meter = Meter()
+        began, count = play.net.clock.now, 10 * edges
+        silent = range(0, count, 10)
+        for turn in range(20):
+            if turn == 10:
+                for host in play.edges[: edges // 10]:
+                    play.net.kill(host)
+            if turn == 11:
+                for host in play.edges[: edges // 10]:
+                    play.start(host)
+            _beats(play, count, turn, without=silent if 4 <= turn < 9 else range(0))
+        seconds = play.net.clock.now - began
+        meters = {"core": [it.meter for it in play.cores], "edge": [it.meter for it in play.edges]}
+        yield from summed("together", "edges", edges, meters, seconds)
+        yield from by_cause("together", "edges", edges, {"core": meters["core"]}, seconds)
+
+
+def drains(most: int) -> Iterator[Figure]:
+    """A hundred endpoints say within a second that they leave: what each costs."""
+    for edges in (it for it in (30, 100, 300) if it <= most):
+        play = Play(edges)
+        play.run(SETTLE_S)
+        play.configure(1000)
+        _beats(play, 100, 0)
+        play.run(5.0)  # until all have been told of as silent
+        base = {(it.role, it.name): it.value for it in summed("", "", 0, play.measure(SPAN_S), SPAN_S)}
+        for host in play.net.hosts.values():
+            host.meter = Meter()
+        began, acked = play.net.clock.now, 0.0
+        for number in range(100):
+            host = play.cores[number % len(play.cores)]
+            said = {**beat(number, 200), "condition": "draining"}
+            sent = play.net.clock.now
+            answers = play.order(host, "POST", f"/-/Instances.Announce/e{number}", said)
+            while not answers and play.net.clock.now < sent + 1.0:
+                play.run(0.001)
+            acked = max(acked, play.net.clock.now - sent)
+            play.run(0.005)
+        play.run(began + SPAN_S - play.net.clock.now)
+        after = {"core": [it.meter for it in play.cores], "edge": [it.meter for it in play.edges]}
+        for it in summed("", "", 0, after, SPAN_S):
+            each = max(0.0, (it.value - base[it.role, it.name]) * SPAN_S / 100)
+            yield Figure("a drain", "edges", edges, it.role, it.name.replace("/s", ""), each)
+        yield Figure("a drain", "edges", edges, "endpoint", "longest virtual s to ack", acked)
+
+
 def joins(most: int) -> Iterator[Figure]:
     """An edge that starts anew hears of all endpoints."""
     for count in upto((100, 1000, 10_000), most):
--- a/benchmarks/hollow/steps.py
+++ b/benchmarks/hollow/steps.py
@@ -25,6 +25,7 @@
 from workshop.lathe.endpoints import Pool
 from workshop.lathe.message import Message
 from workshop.lathe.rack import Rack
+from workshop.lathe.spread import Spread
 from workshop.machine.core import Core, blank
 from workshop.machine.edge import Edge
 from workshop.machine.store import Store
@@ -302,6 +303,26 @@
             len(json.dumps(table)) < 8 << 20) else len(json.dumps(table, separators=(",", ":"))))  # fmt: skip
 
 
+def stores(most: int) -> Iterator[Figure]:
+    """What an owner does for a message or a shard with all stores of the roster."""
+    for count in (10, 100, 1000, 10_000):
+        _, host, world = _alone("edge")
+        spread = Spread(world, settings(host, ["10.1.0.1"]).tolerance, "z0", "r", 120.0)
+        place = {"addr": "10.2.0.1:7300", "region": "r", "state": "full", "at": 1}
+        roster = {
+            f"disk-{it}": {**place, "name": f"store-{it}", "zone": f"z{it % ZONES}"} for it in range(count)
+        }
+        spread.roster_is(roster)
+        held = message(1, 0)
+        heard = set(roster) - {"disk-1"}
+        acts: dict[str, Callable[[], object]] = {
+            "which stores keep a message": partial(spread._ranked, held),
+            "whether enough stores were read": partial(spread.knows_all, heard),
+        }
+        for name, act in acts.items():
+            yield Figure("steps", "stores", count, "step", f"processor s, {name}", _timed(5, act))
+
+
 def _drain_steps() -> Iterator[Figure]:
     for count in (256, 1024, 4096):
         book = Book()
