--- a/tests/workshop/test_seats.py
+++ b/tests/workshop/test_seats.py
@@ -148,6 +148,23 @@
         deployment.clock.run(deployment.clock.now + BOUNDS["catchUpS"])
 
 
+def zones_of_voters(seed: int) -> list[str]:
+    """Founders that all stand in one zone, and two others elsewhere: where the voters stand in the end."""
+    deployment = Deployment(seed, 3, 0, 0, 5, [], 1.0)
+    deployment.tolerance = A_ZONE
+    for machine, zone in zip(deployment.cores, ("z0", "z0", "z0", "z1", "z2"), strict=True):
+        machine.zone = zone
+        machine.start()
+    deployment.clock.run(4.0)
+    return sorted(it.zone for it in voting(deployment))
+
+
+def test_founders_of_one_zone_give_way_to_others() -> None:
+    assert zones_of_voters(1) == ["z0", "z1", "z2"]
+    with mutated("voters-in-one-zone"):
+        assert zones_of_voters(1) == ["z0", "z0", "z0"]
+
+
 @pytest.mark.parametrize("cores", [3, 4, 5])
 @pytest.mark.parametrize("what", ["replaced", "emptied"])
 @pytest.mark.parametrize("leads", [True, False])
