--- a/workshop/jig/explore.py
+++ b/workshop/jig/explore.py
@@ -107,7 +107,7 @@
     "removed": (Start(_EMPTY, 2, 1, 0, plan=_without_c), 6),
     "leaving": (Start(_EMPTY, 0, 0, 1, writes=1, changes=1, away=1, plan=_led), 5),
     "changes": (Start(_EMPTY, 2, 0, 0, changes=2, plan=_with_learner), 4),
-    "snapshots": (Start(_EMPTY, 1, 0, 0, changes=1, cuts=2, plan=_with_learner), 4),
+    "snapshots": (Start(_EMPTY, 1, 0, 0, changes=1, cuts=2, plan=_led), 5),
     "all of it": (Start(_EMPTY, 1, 1, 1, writes=1, changes=2, cuts=1, away=1, plan=_with_four), 3),
 }
 
@@ -222,12 +222,13 @@
             it = like.members[name]
             assert not it.waiting, "writes under way can't be copied"
             member.saved, member.book = replace(it.saved, entries=list(it.saved.entries)), dict(it.book)
-            for of, to in ((it.vise, member.vise), (it.vise.log, member.vise.log)):
-                for key, value in vars(of).items():
-                    if isinstance(value, dict):
-                        setattr(to, key, {name: deepcopy(it) for name, it in value.items()})
-                    elif isinstance(value, bool | int | float | str | list | Role):
-                        setattr(to, key, copy(value))
+            vise, other = member.vise, it.vise
+            for ours, theirs in ((vise, other), (vise.log, other.log), (vise.floors, other.floors)):
+                for key, value in vars(theirs).items():
+                    if key == "_peers":
+                        setattr(ours, key, deepcopy(value))
+                    elif isinstance(value, bool | int | float | str | tuple | list | dict | Role):
+                        setattr(ours, key, copy(value))
 
     # -- members
 
@@ -427,7 +428,8 @@
             rows = [rows for rows, _ in it.waiting]
             leads = vise.role is Role.LEADER
             log = vise.log.start, str(vise.base_members), str(vise.entries), vise.commit, vise.synced
-            now = vise.me, vise.term, vise.vote, vise.role.value, log
+            parts = [str(peer.sending) for _, peer in sorted(vise._peers.items())], str(vise._receiving)
+            now = vise.me, vise.term, vise.vote, vise.role.value, log, str(parts)
             disk = it.saved.me, it.saved.term, it.saved.vote, it.saved.start, str(it.saved.entries)
             members.append((name, now, disk, str(peers) if leads else "", str(rows)))
         wire = sorted((it.to, it.text) for it in self.messages.values())
