Ask for ends once more when the owner before has handed over

Cause: a new owner reads a shard's open messages; until the owner before hears of its successor it may end some and have that marked at enough stores. It then hands over neither the call nor the end, and the new owner calls again: TWICE.

What was read of shards that were handed over is now asked for at the stores, as what some store does not list was before.

--- a/workshop/lathe/shards.py
+++ b/workshop/lathe/shards.py
@@ -274,7 +274,13 @@
 
         for name in sorted(load.heard):
             store = self.spread.stores.get(name)
-            unlisted = [key for key in load.found if key not in load.listed[name]]
+            # The owner before may have ended some after they were read and had that marked before it heard of
+            # its successor: then it hands over neither their calls nor their ends.
+            unlisted = [
+                key
+                for key, it in load.found.items()
+                if key not in load.listed[name] or (it.shard, load.shards.get(it.shard)) in self._handed
+            ]
             if store is not None and unlisted:
                 left += 1
                 self.world.ask(store.address, "find", {"ids": unlisted}, FENCE_S, hear)
