--- a/tests/workshop/test_contact.py
+++ b/tests/workshop/test_contact.py
@@ -9,12 +9,15 @@
 from result import Ok
 
 from tests.workshop.fakes import Alone, settings
+from workshop.chest.drawer import Kept
 from workshop.jig.clock import Clock
 from workshop.jig.days import Day
 from workshop.jig.deployment import Machine
+from workshop.lathe.message import Message
 from workshop.machine.core import Core
 from workshop.ports import Reply
 from workshop.vise.log import Saved
+from workshop.whistle import news
 
 BEFORE_S, CUT_S, APPLY_S = 6.0, 20.0, 3.0
 
@@ -182,3 +185,41 @@
     assert core.book.edition == 5
     assert 412 not in statuses
     assert len(said) == 2  # the order to retire is proposed by now, and not committed
+
+
+def test_all_news_come_page_by_page_before_an_edge_serves(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(news, "PAGE", 2)
+    day = Day(3, "quiet")
+    for machine in day.deployment.machines:
+        machine.start()
+    day.clock.later(0.6, day.operator.begin)
+    for number in range(5):
+        day.clock.later(1.0, partial(day.deployment.town.start, "alpha", day.deployment.zones[number % 2]))
+    day.clock.run(5.0)
+    edge = day.deployment.edges[0]
+    edge.kill()
+    edge.start()
+    while not edge.part.member.confirmed:
+        day.clock.run(day.clock.now + 0.001)
+        assert day.clock.now < 7.0
+    known = edge.part.news.items
+    assert len(known) >= 8
+    assert known.keys() == day.deployment.cores[0].part.news.items.keys()
+
+
+def test_a_message_whose_end_the_stores_know_is_not_asked_for_without_end() -> None:
+    day = Day(2, "quiet")
+    for machine in day.deployment.machines:
+        machine.start()
+    day.clock.later(0.6, day.operator.begin)
+    day.clock.run(5.0)
+    edge = day.deployment.edges[0].part
+    shard = next(iter(edge.shards.mine))
+    for store in day.deployment.stores:
+        store.part.kept[f"{shard}-x"] = Kept(shard, 1, 1, {}, 1, "done", "seal", day.clock.now + 2e9)
+    message = Message(f"{shard}-x", shard, "x", "", "POST", "/plain/x", "r-plain", "", 1.79e9, 1.79e9)
+    message.holders |= set(edge.spread.stores)
+    edge.rack.add(message)  # read as open without its body, before its end was known there
+    day.clock.run(6.0)
+    assert message.ended
+    assert edge.ends[message.id][:2] == ("done", "seal")
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -227,14 +227,18 @@
 
     @on("newest")
     def on_newest(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
-        """Give all news once they are known to be as new as a majority's."""
+        """Give a page of all news once they are known to be as new as a majority's."""
 
         def give(index: int | None) -> None:
             if index is None:
                 respond({"ok": False}, b"")
                 return
 
-            self._when_applied(index, lambda: respond({"ok": True, "items": self.news.everything()}, b""))
+            def act() -> None:
+                items, upto = self.news.page_after(body.get("after", ""))
+                respond({"ok": True, "items": items, "next": upto}, b"")
+
+            self._when_applied(index, act)
 
         self.confirm(give)
 
--- a/workshop/machine/edge.py
+++ b/workshop/machine/edge.py
@@ -429,7 +429,9 @@
         message.out = True
 
         def read(found: bool) -> None:
-            if found:
+            if message.end and not message.ended:  # a store knows what an earlier owner did not tell
+                self._settle(message.id, message.end, message.seal, False)
+            elif found:
                 self.rack.again(message)
             elif not message.ended:
                 self.world.later(OFFER_AGAIN_S, lambda: self._fetch(message))
@@ -441,8 +443,11 @@
 
         def hear(reply: Result[Reply, Lost]) -> None:
             found = isinstance(reply, Ok) and bool(reply.ok_value.body.get("found"))
-            if isinstance(reply, Ok) and found:
-                message.body = reply.ok_value.blob
+            if isinstance(reply, Ok):
+                if found:
+                    message.body = reply.ok_value.blob
+                if reply.ok_value.body.get("end") and not message.end:
+                    message.end, message.seal = reply.ok_value.body["end"], reply.ok_value.body["seal"]
             then(found)
 
         store = self.spread.stores[self.world.chance.choice(holders)]
--- a/workshop/machine/member.py
+++ b/workshop/machine/member.py
@@ -13,7 +13,7 @@
 
 ANSWER_S = 0.4  # for a control relay to answer a beat
 HELLO_S = 0.8
-NEWEST_S = 1.0
+NEWEST_S = 5.0  # for a page of all news: a large one takes seconds over a slow link
 PAUSE_S = (0.1, 0.5)  # before the next control relay is tried, growing
 STALE_S = 1.5  # what a control relay knows may be so much older than what a majority has
 
@@ -115,7 +115,7 @@
         self._failed = min(self._failed + 1, 20)
         self.world.later(pause, lambda: self._hello() if epoch == self._epoch else None)
 
-    def _newest(self, epoch: int) -> None:
+    def _newest(self, epoch: int, after: str = "") -> None:
         """Have what is known confirmed by a majority once, before clients are served."""
 
         def hear(reply: Result[Reply, Lost]) -> None:
@@ -123,7 +123,10 @@
                 return
             if isinstance(reply, Ok) and reply.ok_value.body.get("ok"):
                 self.news.take(reply.ok_value.body["items"])
-                self.confirmed = True
+                if reply.ok_value.body.get("next"):
+                    self._newest(epoch, reply.ok_value.body["next"])
+                else:
+                    self.confirmed = True
             else:
                 # This relay reaches no majority, or is slow: another one may do better.
                 self.relay = ""
@@ -131,7 +134,7 @@
                 self._again()
 
         if epoch == self._epoch and not self.confirmed:
-            self.world.ask(self.relay, "newest", {}, NEWEST_S, hear)
+            self.world.ask(self.relay, "newest", {"after": after}, NEWEST_S, hear)
 
     def _beat(self, epoch: int) -> None:
         if epoch != self._epoch:
--- a/workshop/machine/store.py
+++ b/workshop/machine/store.py
@@ -226,13 +226,14 @@
 
     @on("body")
     def on_body(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
-        """A message's bytes, while it is open or dead."""
+        """A message's bytes, while it is open or dead, and how it ended where it has."""
         name = body["id"]
         known = self.kept.get(name)
+        end = {"end": known.end, "seal": known.seal} if known is not None and known.end else {}
         if known is None or known.end not in ("", "dead"):
-            respond({"found": False}, b"")
+            respond({"found": False, **end}, b"")
             return
-        self.drawer.read([name], lambda found: respond({"found": name in found}, found.get(name, b"")))
+        self.drawer.read([name], lambda found: respond({"found": name in found, **end}, found.get(name, b"")))
 
     def _sweep(self) -> None:
         self.world.later(SWEEP_S, self._sweep)
