Call no ask unsent whose dial was given up as the connection came up

Need: `unsent` means that a peer surely did not act, and a client is then answered 503 (REFUSED). Cause: where the process is held up in the turn in which the connection is made, the dial's timeout fires in the turn in which the waiting asks are written; `_dial` then ended the link with UNSENT. Ruled out by the model: a reply to another ask or of a connection that was replaced, one told twice, an ask that goes out twice, a reply cut at any byte that passes for a whole one.

Change: a dial that is given up after the connection came up is aborted and its asks are BROKEN. Three mutants, each found by the model.

--- a/tests/workshop/test_endpoint_answers.py
+++ b/tests/workshop/test_endpoint_answers.py
@@ -27,8 +27,8 @@
 MESSAGES = 30
 TROUBLES = (
     "fine", "fine", "fine", "fine", "fine", "fine", "fails", "fails", "full", "dead", "late",
-    "doubled", "doubled later", "doubled later", "doubled later", "stale", "nameless", "cut", "never", "reset", "closes",
-    "closes later", "garbage", "informs", "large", "just in time",
+    "doubled", "doubled later", "doubled later", "doubled later", "stale", "nameless", "cut", "never",
+    "reset", "closes", "closes later", "garbage", "informs", "large", "just in time",
 )  # fmt: skip
 
 
--- a/tests/workshop/wires.py
+++ b/tests/workshop/wires.py
@@ -22,6 +22,13 @@
         return super().select(0)
 
 
+class Marker(socket.socket):
+    """Readable while something has come; it takes the options of TCP, which mean nothing here."""
+
+    def setsockopt(self, *given: Any) -> None:
+        pass
+
+
 class End(asyncio.Transport):
     """One end of a connection."""
 
@@ -29,7 +36,8 @@
         super().__init__()
         self.loop, self.protocol, self.peername = loop, protocol, peername
         self.other: End
-        self.marker, self._mark = socket.socketpair()  # readable while something has come and is not read
+        marker, self._mark = socket.socketpair()
+        self.marker = Marker(fileno=marker.detach())
         self.unread: list[bytes | None] = []  # None: the other side has said all
         self.heard = bytearray()  # all that the protocol was given
         self.had_come = b""  # all that had come, read or not, when it last wrote
--- a/workshop/belt/links.py
+++ b/workshop/belt/links.py
@@ -80,6 +80,13 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.end(Lost.BROKEN)
 
+    def not_up(self) -> None:
+        """The dial was given up."""
+        # Guards against one that came up just then, as this process was held up: what it wrote may be heard.
+        if self.transport is not None:
+            self.transport.abort()
+        self.end(Lost.UNSENT if self.transport is None else Lost.BROKEN)
+
     def end(self, why: Lost) -> None:
         if self.over:
             return
@@ -212,7 +219,7 @@
             async with asyncio.timeout(DIAL_S):
                 await asyncio.get_running_loop().create_connection(lambda: link, host, int(port))
         except (OSError, TimeoutError, ValueError):
-            link.end(Lost.UNSENT)
+            link.not_up()
 
     def gone(self, link: _Outgoing) -> None:
         if self._links.get(link.to) is link:
--- a/workshop/jig/faults_answers.py
+++ b/workshop/jig/faults_answers.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import AbstractContextManager, contextmanager
 from typing import Any
 from unittest.mock import patch
 
 from amberlug.http.link import Link
+from workshop.belt.links import Belt, _Incoming, _Outgoing
 from workshop.lathe.caller import Caller
-from workshop.ports import Called, Delivery, Verdict
+from workshop.ports import Called, Delivery, Json, Lost, Respond, Verdict
 
 
 def _answer_by_order() -> AbstractContextManager[Any]:
@@ -67,6 +69,57 @@
         yield
 
 
+@contextmanager
+def _reply_by_order() -> Iterator[None]:
+    """The next reply on a connection is taken for the oldest ask's, whatever number it names."""
+    received = _Outgoing.data_received
+
+    def in_order(self: _Outgoing, data: bytes) -> None:
+        asked = self.asked
+        self.asked = _Oldest(asked)
+        received(self, data)
+        self.asked = dict(self.asked)
+
+    with patch.object(_Outgoing, "data_received", in_order):
+        yield
+
+
+class _Oldest(dict[int, Any]):
+    """Gives its oldest item for any key."""
+
+    def pop(self, key: int, *default: Any) -> Any:
+        return super().pop(next(iter(self), key), *default)
+
+
+@contextmanager
+def _reply_after_replacement() -> Iterator[None]:
+    """Each connection numbers its asks anew, and replies go back on the newest connection from the asker."""
+    respond_to, ask = _Incoming._respond_to, Belt.ask
+    newest: dict[tuple[Belt, str], _Incoming] = {}
+
+    def numbered(self: Belt, to: str, *rest: Any, **more: Any) -> None:
+        link = self._link(to)
+        self._numbers = itertools.count(1 + len(link.__dict__.setdefault("numbered", [])))
+        link.__dict__["numbered"].append(to)
+        ask(self, to, *rest, **more)
+
+    def on_newest(self: _Incoming, number: object) -> Respond:
+        newest[self.belt, self.origin] = self
+
+        def respond(body: Json, blob: bytes = b"") -> None:
+            respond_to(newest[self.belt, self.origin], number)(body, blob)
+
+        return respond
+
+    with patch.object(Belt, "ask", numbered), patch.object(_Incoming, "_respond_to", on_newest):
+        yield
+
+
+def _unsent_after_dial() -> AbstractContextManager[Any]:
+    """A dial that is given up as it comes up counts as unsent."""
+    return patch.object(_Outgoing, "not_up", lambda self: self.end(Lost.UNSENT))
+
+
 FAULTS: Mapping[str, tuple[Callable[[], AbstractContextManager[Any]], str]] = {
     "answer-by-order": (_answer_by_order, "answers"),
     "attempt-by-order": (_attempt_by_order, "answers"),
@@ -74,4 +127,7 @@
     "silent-open": (_silent_open, "answers"),
     "sent-again": (_sent_again, "answers"),
     "extra-kept": (_extra_kept, "answers"),
+    "reply-by-order": (_reply_by_order, "answers"),
+    "reply-after-replacement": (_reply_after_replacement, "answers"),
+    "unsent-after-dial": (_unsent_after_dial, "answers"),
 }
