Let no second answer of a handler reach the next request on its connection

No handler of the program is known to do this: all of them guard themselves; the guard is now the server's. Ruled out by the model: answers out of order, to what was not asked whole, on a later connection, a request handed over twice.

Change: a reply is spent before its answer is written, and is given back only where nothing was written. Connections of the tests keep the order of pieces that arrive at one moment. Two mutants, each found by the model.

--- /dev/null
+++ b/tests/workshop/test_client_answers.py
@@ -0,0 +1,129 @@
+"""Whose an answer to a client is: the hatch's server of edges and core machines, with drawn handlers."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+
+import pytest
+
+from tests.workshop.wires import End, Loop, run
+from workshop.hatch.server import Answer, Limits, Request, Server
+from workshop.jig.faults_answers import FAULTS
+
+AT = "10.0.0.3", 8080
+CONNECTIONS = 25
+
+
+class Handlers:
+    """Answers at once, later, never, twice, again for an earlier request, or fails."""
+
+    def __init__(self, loop: Loop, chance: random.Random) -> None:
+        self.loop, self.chance = loop, chance
+        self.seen: list[str] = []
+        self.replies: list[Callable[[], None]] = []
+
+    def handle(self, request: Request, reply: Callable[[Answer], None]) -> None:
+        self.seen.append(request.target)
+        body = request.target.encode()
+
+        def answer() -> None:
+            with contextlib.suppress(RuntimeError):  # what is answered already
+                reply(Answer(200, (("X-For", request.target),), body))
+
+        self.replies.append(answer)
+        what = self.chance.choice(("once", "once", "later", "later", "twice", "earlier", "never", "fails"))
+        if what == "fails":
+            raise ZeroDivisionError
+        if what == "earlier":  # a handler that is done with some request says so again, at any moment
+            for _ in range(3):
+                self.chance.choice(self.replies)()
+        if what in ("once", "twice", "earlier"):
+            answer()
+        if what in ("twice", "later"):
+            self.loop.call_later(self.chance.uniform(0.0, 0.5), answer)
+
+
+class Client(asyncio.Protocol):
+    """Sends requests one behind the other, in pieces, and reads the answers in order."""
+
+    def __init__(self, loop: Loop, chance: random.Random, name: int) -> None:
+        self.loop, self.chance, self.read = loop, chance, b""
+        self.targets = [f"/c{name}-{number}" for number in range(chance.randrange(1, 12))]
+        self.sent = 0  # bytes
+        self.lines = [f"POST {it} HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc" for it in self.targets]
+        self.whole = "".join(self.lines).encode()
+        self.answers = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, End)
+        self.end = transport
+        self.send()
+        if self.chance.random() < 0.4:  # it leaves, whatever is under way
+            self.loop.call_later(
+                self.chance.uniform(0.0, 1.0), self.chance.choice((transport.abort, transport.close))
+            )
+
+    def send(self) -> None:
+        size = self.chance.choice((7, 60, 200, 2000))
+        self.end.write(self.whole[self.sent : self.sent + size])
+        self.sent += size
+        if self.sent < len(self.whole):
+            self.loop.call_later(self.chance.uniform(0.0, 0.1), self.send)
+
+    def data_received(self, data: bytes) -> None:
+        self.read += data
+        while self.read:
+            head, whole, rest = self.read.partition(b"\r\n\r\n")
+            if not whole:
+                return
+            status = int(head.split()[1])
+            fields = dict(line.split(": ", 1) for line in head.decode().split("\r\n")[1:])
+            length = int(fields["Content-Length"])
+            if len(rest) < length:
+                return
+            asked = sum(len(it) for it in self.lines[: self.answers + 1])
+            assert asked <= self.sent, "an answer to what was not asked"
+            assert self.answers < len(self.targets), "an answer too many"
+            target = self.targets[self.answers]
+            assert status in (200, 408, 500), status
+            if status == 200:
+                assert (fields["X-For"], rest[:length].decode()) == (
+                    target,
+                    target,
+                ), "an answer to another request"
+            self.answers, self.read = self.answers + 1, rest[length:]
+
+
+async def scene(loop: Loop, chance: random.Random) -> None:
+    handlers = Handlers(loop, chance)
+    server = Server(handlers.handle, lambda: Limits(header_s=1.0, idle_s=2.0))
+    await server.listen(*AT)
+    clients = [Client(loop, chance, name) for name in range(CONNECTIONS)]
+    for client in clients:
+        await asyncio.sleep(chance.uniform(0.0, 0.1))
+        await loop.create_connection(lambda client=client: client, *AT)
+    await asyncio.sleep(10.0)
+    assert len(set(handlers.seen)) == len(handlers.seen), "a request is handed over twice"
+    asked = {target for client in clients for target in client.targets}
+    assert set(handlers.seen) <= asked
+    server.stop()
+    server.abort()
+    await asyncio.sleep(1.0)
+    failures, loop.failures = loop.failures, []
+    loop.failures = [it for it in failures if not isinstance(it, ZeroDivisionError)]
+
+
+def play(seeds: range) -> None:
+    for seed in seeds:
+        run(seed, scene)
+
+
+def test_each_request_gets_its_own_answer_in_order() -> None:
+    play(range(40))
+
+
+@pytest.mark.parametrize("name", ["answer-to-next", "answer-again-within"])
+def test_a_fault_is_found(name: str) -> None:
+    with FAULTS[name][0](), pytest.raises(AssertionError):
+        play(range(40))
--- a/tests/workshop/wires.py
+++ b/tests/workshop/wires.py
@@ -102,7 +102,7 @@
     # -- on the wire
 
     def _leave(self, data: bytes | None) -> None:
-        self._last = max(self._last, self.loop.time() + self.loop.chance.uniform(*DELAY_S))
+        self._last = max(self._last + 1e-9, self.loop.time() + self.loop.chance.uniform(*DELAY_S))
         self.loop.call_at(self._last, self.other.arrive, data, self._last)
 
     def open(self) -> None:
--- a/workshop/hatch/server.py
+++ b/workshop/hatch/server.py
@@ -138,8 +138,13 @@
     def __call__(self, answer: Answer) -> None:
         if self.done:
             raise RuntimeError("a request is answered once")
-        self._connection.answer(answer, self._head_only)
+        # Guards against a second answer from within: the connection goes on to its next request at once.
         self.done = True
+        try:
+            self._connection.answer(answer, self._head_only)
+        except ValueError:
+            self.done = False  # nothing was written
+            raise
 
 
 class _Connection(asyncio.Protocol):
--- a/workshop/jig/faults_answers.py
+++ b/workshop/jig/faults_answers.py
@@ -10,6 +10,7 @@
 
 from amberlug.http.link import Link
 from workshop.belt.links import Belt, _Incoming, _Outgoing
+from workshop.hatch.server import Answer, _Reply
 from workshop.lathe.caller import Caller
 from workshop.ports import Called, Delivery, Json, Lost, Respond, Verdict
 
@@ -120,6 +121,23 @@
     return patch.object(_Outgoing, "not_up", lambda self: self.end(Lost.UNSENT))
 
 
+def _answer_to_next() -> AbstractContextManager[Any]:
+    """A second answer to a request goes to whatever its connection has open by then."""
+    return patch.object(_Reply, "__call__", lambda self, answer: self._connection.answer(answer, False))
+
+
+def _answer_again_within() -> AbstractContextManager[Any]:
+    """A request counts as answered only after its connection has gone on to the next one."""
+
+    def reply(self: _Reply, answer: Answer) -> None:
+        if self.done:
+            raise RuntimeError("a request is answered once")
+        self._connection.answer(answer, self._head_only)
+        self.done = True
+
+    return patch.object(_Reply, "__call__", reply)
+
+
 FAULTS: Mapping[str, tuple[Callable[[], AbstractContextManager[Any]], str]] = {
     "answer-by-order": (_answer_by_order, "answers"),
     "attempt-by-order": (_attempt_by_order, "answers"),
@@ -129,5 +147,7 @@
     "extra-kept": (_extra_kept, "answers"),
     "reply-by-order": (_reply_by_order, "answers"),
     "reply-after-replacement": (_reply_after_replacement, "answers"),
+    "answer-to-next": (_answer_to_next, "answers"),
+    "answer-again-within": (_answer_again_within, "answers"),
     "unsent-after-dial": (_unsent_after_dial, "answers"),
 }
