--- a/workshop/jig/days.py
+++ b/workshop/jig/days.py
@@ -128,6 +128,7 @@
             "rate": [self._edge_kill, self._edge_roll],
             "freeze": [self._edge_freeze],
             "quiet": [lambda: 0.0],
+            "answers": [self._edge_kill, self._edge_roll, self._edge_freeze, self._edge_cut],
             "footing": [lambda: 0.0],
         }
         others = [
@@ -142,6 +143,8 @@
         system = aims.get(self.aim, system)
         if self.aim == "config":
             others = [self._changes]
+        if self.aim == "answers":
+            others = [self._answers_garbled, self._answers_garbled, self._answers_lost, self._crash]
         if self.aim == "footing":
             others = [*others, self._edge_kill, self._edge_roll, self._edge_freeze]
             self.footing.begin(start, end - 2.0)
@@ -391,6 +394,19 @@
         self.clock.later(1.0, whole)
         return 0.0
 
+    def _answers_garbled(self) -> float:
+        """Answers of a service are cut, late, nameless or doubled for a while."""
+        kind = self.chance.choice(list(self.deployment.town.kinds.values()))
+        seconds = self.chance.uniform(0.5, 3.0)
+        self.history.say(f"{kind.name} garbles answers for {seconds:.1f} s")
+        kind.garbled = 0.5
+
+        def whole() -> None:
+            kind.garbled = 0.0
+
+        self.clock.later(seconds, whole)
+        return 0.0
+
     def _change(self) -> float:
         self.operator.change()
         self._look_at_routes()
--- a/workshop/jig/endpoints.py
+++ b/workshop/jig/endpoints.py
@@ -4,12 +4,14 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING
 
+from amberlug.http.link import Reply
 from workshop.jig.history import Run
 from workshop.jig.network import Life
+from workshop.lathe.caller import Caller as RealCaller
 from workshop.ports import Called, Delivery, Verdict
 
 if TYPE_CHECKING:
@@ -19,6 +21,7 @@
 QUEUE = 3
 WITHIN_S = 1.0  # an announcement is acknowledged
 PAUSE_S = 0.2
+LATE_S = 1.8  # beyond what any call waits for
 DRAIN_S = 3.0
 DROPPED = 0.8  # part of the runs that end when their connection closes
 NOT_RUN = ("amberlug-not-executed", "1")
@@ -33,7 +36,8 @@
     work_s: float
     dedup: bool
     fails: float = 0.02  # part of the runs that are answered with 500
-    lost: float = 0.0  # part of the answers that are lost
+    lost: float = 0.0  # part of the answers that are lost, in silence or with a reset
+    garbled: float = 0.0  # part of the answers that are cut, late, or sent once more on the same connection
 
 
 Answer = Callable[[Called], None]
@@ -115,16 +119,30 @@
             else:
                 del self.town.done[run.attempt]
 
-        def read(called: Called) -> None:
-            answer(called)
-
+        called = Called(Verdict.ANSWERED, status, tuple(headers))
         if self.town.chance.random() < self.kind.lost:
             if self.town.chance.random() < 0.5:
-                read(Called(Verdict.BROKEN))
+                answer(Called(Verdict.BROKEN))
+        elif self.kind.garbled and self.town.chance.random() < self.kind.garbled:
+            self._garble(called, answer)
         else:
-            answer(Called(Verdict.ANSWERED, status, tuple(headers)))
+            answer(called)
         self._pump()
 
+    def _garble(self, called: Called, answer: Answer) -> None:
+        """Cut an answer, give it too late, name nothing in it, or send it a second time a little later."""
+        chance, clock = self.town.chance, self.deployment.clock
+        what = chance.choice(("cut", "late", "nameless", "extra", "extra", "extra"))
+        if what == "cut":
+            answer(Called(Verdict.BROKEN))
+        elif what == "late":
+            clock.later(LATE_S, lambda: answer(called))
+        elif what == "nameless":
+            answer(Called(called.verdict, called.status, called.headers[1:]))
+        else:
+            answer(called)
+            clock.later(chance.choice((0.0, chance.uniform(0.0, 0.3))), lambda: answer(called))
+
     def closed(self, life: Life) -> None:
         """A sender's process has ended: most of what it has here is dropped."""
         self._queue = [it for it in self._queue if it[2] is not life]
@@ -256,12 +274,22 @@
                 endpoint.closed(life)
 
 
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One from an edge's process to an endpoint; what comes on it comes to the call that it carries then."""
+
+    hear: Callable[[Called], None] | None = None
+    open: bool = True
+    answered: set[str] = field(default_factory=set)  # attempts, without success
+
+
 class Caller:
-    """Calls of one edge's process to endpoints."""
+    """Calls of one edge's process to endpoints; whose an answer is, the program's own caller tells."""
 
     def __init__(self, town: Town, life: Life) -> None:
         self.town, self.life = town, life
         self._kept: set[str] = set()
+        self._idle: dict[str, list[Connection]] = {}
 
     def idle(self, address: str) -> int:
         return int(address in self._kept)
@@ -269,6 +297,22 @@
     def forget(self, address: str) -> None:
         self._kept.discard(address)
 
+    def _connection(self, delivery: Delivery) -> Connection:
+        idle = self._idle.setdefault(delivery.address, [])
+        idle[:] = [it for it in idle if it.open]
+        found = next((it for it in idle if delivery.attempt not in it.answered), None)
+        if found is None:
+            return Connection()
+        idle.remove(found)
+        return found
+
+    @staticmethod
+    def _arrived(connection: Connection, called: Called) -> None:
+        if connection.hear is not None:
+            connection.hear(called)
+        else:
+            connection.open = False  # on an idle one it belongs to no call
+
     def call(self, delivery: Delivery, then: Callable[[Called], None]) -> None:
         clock, life = self.town.deployment.clock, self.life
         sent = clock.now
@@ -279,7 +323,12 @@
             if over:
                 return
             over = True
+            connection.hear = None
+            connection.open = called.verdict is Verdict.ANSWERED
             if called.verdict is Verdict.ANSWERED:
+                if called.header("amberlug-server-seal") is None:
+                    connection.answered.add(delivery.attempt)
+                self._idle.setdefault(delivery.address, []).append(connection)
                 self._kept.add(delivery.address)
                 for run in reversed(self.town.deployment.history.runs):
                     if run.sent == sent and run.attempt == delivery.attempt:
@@ -289,8 +338,16 @@
                 self._kept.discard(delivery.address)
             then(called)
 
+        def hear(called: Called) -> None:
+            reply = Reply(called.status, dict(called.headers))
+            theirs = called.verdict is Verdict.ANSWERED and not RealCaller._is_to(delivery, reply)
+            end(Called(Verdict.BROKEN) if theirs else called)
+
+        connection = self._connection(delivery)
+        connection.hear = hear
+
         def back(called: Called) -> None:
-            clock.later(DELAY_S, lambda: life.do(partial(end, called)))
+            clock.later(DELAY_S, lambda: life.do(partial(self._arrived, connection, called)))
 
         def arrive() -> None:
             endpoint = self.town.at.get(delivery.address)
--- a/workshop/jig/faults_answers.py
+++ b/workshop/jig/faults_answers.py
@@ -12,6 +12,10 @@
 from workshop.belt.links import Belt, _Incoming, _Outgoing
 from workshop.hatch.server import Answer, _Reply
 from workshop.lathe.caller import Caller
+from workshop.lathe.message import Message
+from workshop.lathe.service import Outcome, judge
+from workshop.lathe.shards import Shards
+from workshop.machine import edge
 from workshop.ports import Called, Delivery, Json, Lost, Respond, Verdict
 
 
@@ -138,6 +142,32 @@
     return patch.object(_Reply, "__call__", reply)
 
 
+@contextmanager
+def _answer_believed() -> Iterator[None]:
+    """Whatever comes next on a connection ends the message whose call is out there."""
+
+    def believe(message: Message, called: Called, max_attempts: int) -> Outcome:
+        rest = tuple(it for it in called.headers if it[0] != "amberlug-attempt-id")
+        named = (("amberlug-attempt-id", message.attempt), *rest)
+        return judge(message, Called(called.verdict, called.status, named), max_attempts)
+
+    with _answer_by_order(), patch.object(edge, "judge", believe):
+        yield
+
+
+@contextmanager
+def _out_elsewhere() -> Iterator[None]:
+    """Who takes a shard over calls at once what the owner before has out."""
+    handover = Shards.on_handover
+
+    def nothing_out(self: Shards, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        handover(self, {**body, "out": []}, blob, origin, respond)
+
+    nothing_out.__dict__.update(handover.__dict__)  # the word that it hears
+    with patch.object(Shards, "on_handover", nothing_out):
+        yield
+
+
 FAULTS: Mapping[str, tuple[Callable[[], AbstractContextManager[Any]], str]] = {
     "answer-by-order": (_answer_by_order, "answers"),
     "attempt-by-order": (_attempt_by_order, "answers"),
@@ -149,5 +179,7 @@
     "reply-after-replacement": (_reply_after_replacement, "answers"),
     "answer-to-next": (_answer_to_next, "answers"),
     "answer-again-within": (_answer_again_within, "answers"),
+    "answer-believed": (_answer_believed, "answers"),
+    "out-elsewhere": (_out_elsewhere, "roll"),
     "unsent-after-dial": (_unsent_after_dial, "answers"),
 }
