Bring about asks whose fate is open: no refusal, no other name, no second order

Need: which calls may not be repeated, and what a client or operator is told after silence or a break. Checked, each by a test of the real parts: an offer to another owner, with every pair of fates (unsent, broken, silent, held, elsewhere, unclear, refused), keeps its name, is not sent again once held, ends once also when replies come once more, and is refused (503) only where all fates say that nobody has it; an order that a core machine passes on is passed on once, silence and breaks are answered 503 with no claim, and a refusal is the leader's alone. No fault was found here.

Change: the tests, and a mutant that passes an order on again after silence.

--- /dev/null
+++ b/tests/workshop/test_unclear_asks.py
@@ -0,0 +1,97 @@
+"""What becomes of asks whose fate is open: silence, breaks, what was not sent, answers that come twice."""
+
+import itertools
+
+import pytest
+from result import Err, Ok
+
+from tests.workshop.fakes import Alone, settings
+from tests.workshop.test_core import Fast
+from tests.workshop.test_edge import Nowhere
+from workshop.crib.orders import Said
+from workshop.jig.clock import Clock
+from workshop.jig.deployment import Request
+from workshop.jig.faults_answers import FAULTS
+from workshop.lathe.message import Message
+from workshop.lathe.shards import Taken
+from workshop.machine.core import Core, blank
+from workshop.machine.edge import Edge, _Offer
+from workshop.ports import Json, Lost, Reply, Then
+
+AWAY = {"owners": [["edge/other", {"addr": "10.0.0.9:7300"}]], "shards": [[0, 1, -1]]}
+FATES = [*Lost, *Taken]
+
+
+def offer(fates: tuple[Lost | Taken, ...]) -> tuple[list[Taken], list[Json], list[Then]]:
+    """Offer a message to an owner elsewhere, whose answers come in this order, the last one ever again."""
+    clock = Clock()
+    world = Alone(clock)
+    edge = Edge(world, settings("edge"), "10.0.0.1:7300", Nowhere())
+    edge.shards.table_is(AWAY)
+    said: list[Taken] = []
+    message = Message("0-x", 0, "x", "", "POST", "/", "r", "", 0.0, 0.0)
+    _Offer(edge, message, 1.5, said.append).go()
+    sent: list[Json] = []
+    thens: list[Then] = []
+    while len(sent) < 30 and (new := [it for it in world.asked[len(sent) :] if it[1] == "offer"]):
+        for _, _, body, then in new:
+            fate = fates[min(len(sent), len(fates) - 1)]
+            sent.append(body)
+            thens.append(then)
+            then(Err(fate) if isinstance(fate, Lost) else Ok(Reply({"taken": fate.value})))
+        clock.run(clock.now + 0.1)
+    clock.run(5.0)
+    return said, sent, thens
+
+
+@pytest.mark.parametrize("fates", list(itertools.product(FATES, repeat=2)))
+def test_an_offer_whose_fate_is_open_keeps_its_name_and_is_never_refused(
+    fates: tuple[Lost | Taken, ...],
+) -> None:
+    said, sent, thens = offer(fates)
+    assert len(said) == 1
+    assert {it["id"] for it in sent} == {"0-x"}
+    if Taken.HELD in fates:
+        assert said == [Taken.HELD]
+        assert len(sent) == fates.index(Taken.HELD) + 1, "what is held is not offered again"
+    else:
+        surely_not = all(it in (Lost.UNSENT, Taken.REFUSED) for it in fates)
+        assert said == [Taken.REFUSED if surely_not else Taken.UNCLEAR]
+    for then in thens:  # replies that come once more
+        then(Ok(Reply({"taken": "held"})))
+    assert len(said) == 1
+
+
+def order(fate: Lost | Json) -> tuple[list[Said], int]:
+    """Have a follower pass a configuration on to its leader; what it answers, and how often it asked."""
+    clock = Clock()
+    world = Alone(clock)
+    of = settings("core")
+    core = Core(world, of, "10.0.0.1:7300", Fast(), blank(of, lambda bits: 1))
+    core._leader_address = lambda: "10.0.0.9:7300"  # type: ignore[method-assign]
+    said: list[Said] = []
+    request = Request("POST", "/-/Configuration.Replace", (("amberlug-base-version", "0"),), b'{"edition":1}')
+    core.counter.take(request, said.append)
+    at = 0
+    while at < len(world.asked) and at < 5:
+        world.asked[at][3](Err(fate) if isinstance(fate, Lost) else Ok(Reply(fate)))
+        at += 1
+    clock.run(3.0)
+    return said, len([it for it in world.asked if it[1] == "core.order"])
+
+
+def look_at_orders() -> None:
+    for fate in (*Lost, {}, {"said": {"status": 412, "cause": "x"}}, {"said": {"ok": True}}):
+        said, asked = order(fate)
+        assert asked == 1, "an order is passed on once: whoever sent it sends it again"
+        expected = fate["said"].get("status", 200) if isinstance(fate, dict) and fate else 503
+        assert [it.status for it in said] == [expected]
+
+
+def test_an_order_is_passed_on_once_and_is_refused_only_by_the_leader() -> None:
+    look_at_orders()
+
+
+def test_an_order_that_is_passed_on_again_is_found() -> None:
+    with FAULTS["order-again"][0](), pytest.raises(AssertionError, match="passed on once"):
+        look_at_orders()
--- a/workshop/jig/faults_answers.py
+++ b/workshop/jig/faults_answers.py
@@ -8,6 +8,8 @@
 from typing import Any
 from unittest.mock import patch
 
+from result import Err, Result
+
 from amberlug.http.link import Link
 from workshop.belt.links import Belt, _Incoming, _Outgoing
 from workshop.hatch.server import Answer, _Reply
@@ -16,7 +18,9 @@
 from workshop.lathe.service import Outcome, judge
 from workshop.lathe.shards import Shards
 from workshop.machine import edge
+from workshop.machine.core import Core
 from workshop.ports import Called, Delivery, Json, Lost, Respond, Verdict
+from workshop.vise.agree import NotTaken
 
 
 def _answer_by_order() -> AbstractContextManager[Any]:
@@ -168,6 +172,22 @@
         yield
 
 
+def _order_again() -> AbstractContextManager[Any]:
+    """An order that is answered by silence is passed on a second time."""
+    order = Core._order
+
+    def twice(self: Core, word: str, body: Json, then: Callable[[Result[Json, NotTaken]], None]) -> None:
+        def hear(result: Result[Json, NotTaken]) -> None:
+            if isinstance(result, Err) and result.err_value is NotTaken.UNCLEAR:
+                order(self, word, body, then)
+            else:
+                then(result)
+
+        order(self, word, body, hear)
+
+    return patch.object(Core, "_order", twice)
+
+
 FAULTS: Mapping[str, tuple[Callable[[], AbstractContextManager[Any]], str]] = {
     "answer-by-order": (_answer_by_order, "answers"),
     "attempt-by-order": (_attempt_by_order, "answers"),
@@ -181,5 +201,6 @@
     "answer-again-within": (_answer_again_within, "answers"),
     "answer-believed": (_answer_believed, "answers"),
     "out-elsewhere": (_out_elsewhere, "roll"),
+    "order-again": (_order_again, "config"),
     "unsent-after-dial": (_unsent_after_dial, "answers"),
 }
