--- a/workshop/jig/control.py
+++ b/workshop/jig/control.py
@@ -53,7 +53,9 @@
         seconds = self.chance.choice([it for it in CUT_S if it <= left])
         self.cut_off(self.victim(), seconds, self.chance.choice(FORMS), self.chance.random() < 0.5)
         assert self.cut is not None, "a machine was just cut off"
-        then = self.chance.choice(("both", "both", "seeds", "kill", "leader", "freeze", "roll", "none"))
+        then = self.chance.choice(
+            ("both", "both", "seeds", "kill", "leader", "freeze", "roll", "loss", "none")
+        )
         if then == "both":
             self.both(seconds)
         elif then == "seeds":
@@ -61,7 +63,7 @@
         elif then != "none":
             act = {
                 "kill": self._kill_all, "leader": self._kill_leader, "freeze": self._freeze_leader,
-                "roll": self._roll,
+                "roll": self._roll, "loss": self._lose_packets,
             }[then]  # fmt: skip
             self.clock.later(self.chance.uniform(0.5, seconds), act)
         if self.chance.random() < 0.6:
@@ -240,6 +242,18 @@
             at = max(0.0, seconds - self.chance.uniform(-0.01, 0.9))
             self.clock.later(at, partial(self.operator.order, to=leader))
 
+    def _lose_packets(self) -> None:
+        """A core machine loses a part of its packets, and orders come."""
+        machine, seconds = self.chance.choice(self.deployment.cores), self.chance.uniform(2.0, 5.0)
+        self.history.trouble(f"{machine.name} loses packets for {seconds:.1f} s", seconds)
+        machine.loss = self.chance.choice((0.05, 0.2))
+
+        def whole() -> None:
+            machine.loss = 0.0
+
+        self.clock.later(seconds, whole)
+        self.storm(self.clock.now + 2.0)
+
     def _roll(self) -> None:
         """Core machines are told to end, one after the other."""
         at = 0.0
