--- a/workshop/jig/footing.py
+++ b/workshop/jig/footing.py
@@ -8,7 +8,7 @@
 
 from workshop.jig.deployment import BOUNDS, Machine
 from workshop.jig.disk import Chest, Platter
-from workshop.jig.history import Broken
+from workshop.jig.history import Broken, Call
 
 if TYPE_CHECKING:
     from workshop.jig.days import Day
@@ -156,6 +156,7 @@
     def empty(self, store: Machine) -> None:
         """Order a store to be emptied, and look until it is."""
         self.history.trouble(f"{store.name} is to be emptied", RETIRE_S, planned=True)
+        self.history.calls.append(Call("retire", store.name, "", self.clock.now))
         self._ask(f"/-/Retire.Begin/{store.name}", b'{"durationS": 8}', "POST", partial(self._begun, store))
 
     def _ask(self, target: str, body: bytes, method: str, hear: Callable[[int, Any], None]) -> None:
--- a/workshop/jig/losses.py
+++ b/workshop/jig/losses.py
@@ -10,7 +10,7 @@
 
 from workshop.jig.deployment import BOUNDS, Machine
 from workshop.jig.footing import ASK_S, BACK_S, RETIRE_S, Footing
-from workshop.jig.history import Broken
+from workshop.jig.history import Broken, Call
 from workshop.settings import Tolerance
 
 if TYPE_CHECKING:
@@ -304,6 +304,7 @@
                     )
 
         self.retired[store.name] = began
+        self.history.calls.append(Call("retire", store.name, "", began))
         self._ask(f"/-/Retire.Begin/{store.name}", b'{"durationS": 8}', "POST", hear)
 
     def _look(self, store: Machine, until: float) -> None:
