Have a core machine that ends give its vote away first, and members ask several relays at once

A core machine that is told to end says so to the leader and waits, 0.8 s at most, until another one votes in its place; leaving members count as lost for the choice of voters. A member that looks for a relay asks a further one after 0.25 s, and of two sessions of one member that where it was heard last counts. Members that are silent for 30 s (120) are forgotten.

--- a/workshop/crib/sessions.py
+++ b/workshop/crib/sessions.py
@@ -107,7 +107,8 @@
             if now - session.last > SILENT_S + grace:
                 return
             known = found.get(session.name)
-            if known is None or (session.since, session.last) > (known.since, known.last):
+            # A member that asked several control relays stays with one: there it was heard last.
+            if known is None or (session.last, session.since) > (known.last, known.since):
                 found[session.name] = session
 
         for session in self.own.values():
--- a/workshop/jig/checker.py
+++ b/workshop/jig/checker.py
@@ -363,7 +363,6 @@
 
         for at, name in self.history.emptied:
             ordered = any(it.what == "retire" and it.name == name and it.at < at for it in self.history.calls)
-            ordered |= self.history.to_empty.get(name, at) < at
             if not ordered and self.contact.in_touch(name, at, at):
                 self._say("RETIRE", f"{name}, in touch and not to be emptied, gives up its disk at {at:.3f}")
 
--- a/workshop/jig/deployment.py
+++ b/workshop/jig/deployment.py
@@ -163,11 +163,19 @@
         life.do(life.machine.leave)
         clock = self.deployment.clock
         if self.kind != "edge":
-            clock.later(STOP_S, partial(self._finish, life))
+            clock.later(STOP_S, partial(self._end_when_idle, life))
             return
         grace = BOUNDS["graceS"]
         self._wind_up(life, clock.now + STILL_SERVED_S, clock.now + grace - SPARE_S)
 
+    def _end_when_idle(self, life: Life) -> None:
+        if life.over:
+            return
+        if life.machine.idle:
+            self._finish(life)
+        else:
+            self.deployment.clock.later(STOP_S, partial(self._end_when_idle, life))
+
     def _wind_up(self, life: Life, served_until: float, until: float) -> None:
         if life.over:
             return
--- a/workshop/jig/footing.py
+++ b/workshop/jig/footing.py
@@ -160,8 +160,6 @@
         self._ask(f"/-/Retire.Begin/{store.name}", b'{"durationS": 8}', "POST", partial(self._begun, store))
 
     def _ask(self, target: str, body: bytes, method: str, hear: Callable[[int, Any], None]) -> None:
-        if method == "POST":
-            self.history.to_empty.setdefault(target.rpartition("/")[2], self.clock.now)
         core = self._any(self.deployment.cores)
         self.deployment.control(core, method, target, body, WITHIN_S, hear)
 
--- a/workshop/jig/history.py
+++ b/workshop/jig/history.py
@@ -159,7 +159,6 @@
         self.cuts: list[tuple[float, frozenset[tuple[str, str]]]] = [(0.0, frozenset())]
         self.lossy = False  # whether links lose packets all day long: then nobody is in touch
         self.emptied: list[tuple[float, str]] = []  # stores that gave up their disk's content, and when
-        self.to_empty: dict[str, float] = {}  # stores that days of losses have ordered emptied, and when
         self.calls: list[Call] = []
         self.polls: list[tuple[float, str, bool]] = []  # when, which edge, whether it was ready
         self.leaving: dict[str, float] = {}  # endpoint -> when it first said that it leaves
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -31,6 +31,8 @@
 GATHER_S = 0.4  # without a new member until those who came are given shards
 ORDER_S = 0.9  # for an order to be carried out: callers wait a second
 JOIN_S = 0.3  # between a core machine's tries to be a member
+LEAVE_S = 0.8  # for another one to vote in the place of one that is told to end
+LEAVING_S = 2.0  # after a word of that, until it is taken to stay after all
 CONTACT_S = 1.2  # since a majority was last asked with success: longer than an election takes
 LARGE = ("config",)  # news that come from the log, and are large
 UNHEARD_S = 1.5  # without a leader's word until a core machine asks to be let in again
@@ -81,6 +83,8 @@
         self._first_seen: dict[str, float] = {}
         self._silent: set[str] = set()  # disks whose stores have no session
         self._waits: list[tuple[int, Callable[[], None]]] = []  # for an index to be applied
+        self._leaves_by = 0.0
+        self._leaving: dict[str, float] = {}  # members that are about to end, and when they said so
         self._confirmed = -1e9  # when the newest question was asked that a majority has answered
         self._had_contact = False
 
@@ -93,8 +97,29 @@
         self._join()
 
     def leave(self) -> None:
-        """A planned end: another one leads from now on."""
+        """A planned end: another one leads and votes from now on, where there is one."""
+        self._leaves_by = self.world.now() + LEAVE_S
         self.vise.hand_over()
+        self._say_leaving()
+
+    def _say_leaving(self) -> None:
+        """Have the leader, whoever it is by now, put another one in this voter's place."""
+        if self.idle:
+            return
+        leader = self._leader_address()
+        if leader is not None:
+            self.world.tell(leader, "core.leaving", {"id": self.vise.me})
+        self.world.later(DUTY_S / 2, self._say_leaving)
+
+    @on("core.leaving")
+    def on_leaving(self, body: Json, blob: bytes, origin: str, respond: Respond) -> None:
+        self._leaving[body["id"]] = self.world.now()
+
+    @property
+    def idle(self) -> bool:
+        """Whether a process that was told to end may end: it votes no more, or nobody can in its place."""
+        spare = any(not it["voter"] and not it.get("gone") for it in self.vise.members.values())
+        return self.world.now() >= self._leaves_by or not self.vise.voting or not spare
 
     def stop(self) -> None:
         self.vise.stop()
@@ -369,6 +394,7 @@
             Seat(
                 name, it["voter"], it["zone"], it.get("region", ""),
                 vise.holds(name, min(committed, vise.commit)), vise.silent_s(name), it.get("gone", False),
+                self.world.now() - self._leaving.get(name, -1e9) < LEAVING_S,
             )
             for name, it in vise.members.items()
         ]  # fmt: skip
--- a/workshop/machine/member.py
+++ b/workshop/machine/member.py
@@ -13,6 +13,7 @@
 
 ANSWER_S = 0.4  # for a control relay to answer a beat
 HELLO_S = 0.8
+FURTHER_S = 0.25  # without an answer to a hello until a further control relay is asked as well
 NEWEST_S = 5.0  # for a page of all news: a large one takes seconds over a slow link
 PAUSE_S = (0.1, 0.5)  # before the next control relay is tried, growing
 STALE_S = 1.5  # what a control relay knows may be so much older than what a majority has
@@ -89,17 +90,33 @@
         }
 
     def _hello(self) -> None:
+        self._epoch += 1
+        self._try(self._epoch)
+
+    def _try(self, epoch: int) -> None:
+        """Ask one control relay for a session, and a further one where it is silent: several may be gone."""
+        if epoch != self._epoch or self.relay:
+            return
         to = self._known[self._tried % len(self._known)]
         self._tried += 1
-        self._epoch += 1
-        epoch = self._epoch
+        passed = False  # whether the search goes on without this one
+
+        def further() -> None:
+            nonlocal passed
+            if not passed:
+                passed = True
+                self._try(epoch)
 
         def hear(reply: Result[Reply, Lost]) -> None:
-            if epoch != self._epoch:
-                return
+            nonlocal passed
+            if epoch != self._epoch or self.relay:
+                return  # another one was quicker
             if not _in_contact(reply):
-                self._again()
+                if not passed:
+                    passed = True
+                    self._again()
                 return
+            passed = True
             self.relay, self.changes, self._failed = to, self.changes + 1, 0
             self.news.compare_with(to)
             self.world.later(BEAT_S, lambda: self._beat(epoch))
@@ -107,13 +124,14 @@
                 self._newest(epoch)
 
         self.world.ask(to, "hello", self._body(), HELLO_S, hear)
+        self.world.later(FURTHER_S, further)
 
     def _again(self) -> None:
         """Look for another control relay, after a while that grows: all of them may be without a majority."""
         epoch = self._epoch
         pause = min(PAUSE_S[1], PAUSE_S[0] * 1.3**self._failed) * self.world.chance.uniform(0.8, 1.2)
         self._failed = min(self._failed + 1, 20)
-        self.world.later(pause, lambda: self._hello() if epoch == self._epoch else None)
+        self.world.later(pause, lambda: self._try(epoch))
 
     def _newest(self, epoch: int, after: str = "") -> None:
         """Have what is known confirmed by a majority once, before clients are served."""
@@ -156,7 +174,6 @@
         """The connection with a process ended."""
         if address == self.relay:
             self.relay = ""
-            self._epoch += 1
             self._hello()
 
     def leave(self) -> None:
--- a/workshop/machine/store.py
+++ b/workshop/machine/store.py
@@ -57,6 +57,11 @@
     def leave(self) -> None:
         """A planned end: nothing is owed here that a later start would not still have."""
 
+    @property
+    def idle(self) -> bool:
+        """Whether a process that was told to end may end."""
+        return True
+
     def settings_are(self, settings: Settings) -> None:
         """Take a settings file that has changed."""
         self.settings = self.member.settings = settings
--- a/workshop/program.py
+++ b/workshop/program.py
@@ -186,13 +186,20 @@
         self.machine.leave()
         loop = asyncio.get_running_loop()
         if self.settings.front is None:
-            loop.call_later(0.02, self.ended.set)
+            loop.call_later(0.02, self._end_when_idle)
             return
         for server in self.servers:
             server.leave()
         now = loop.time()
         self._wind_up(now + STILL_SERVED_S, now + self.settings.seconds("graceS") - SPARE_S)
 
+    def _end_when_idle(self) -> None:
+        """A core machine ends once another one votes in its place, a store at once."""
+        if self.machine.idle:
+            self.ended.set()
+        else:
+            asyncio.get_running_loop().call_later(0.02, self._end_when_idle)
+
     def _wind_up(self, served_until: float, until: float) -> None:
         """End once nothing is owed, and the platform sends nobody here any more."""
         loop = asyncio.get_running_loop()
--- a/workshop/vise/seats.py
+++ b/workshop/vise/seats.py
@@ -15,7 +15,7 @@
 FEWEST, MOST = 3, 7  # voters, where there are as many members
 SILENT_S = 1.5  # without an answer until a voter is taken for lost, and a spare one votes in its place
 READY_S = 1.0  # a learner that is to vote answered this leader so lately
-FORGOTTEN_S = 120.0  # without an answer until a learner is removed; it asks to be let in again if it is back
+FORGOTTEN_S = 30.0  # without an answer until a learner is removed; it asks to be let in again if it is back
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,14 +29,15 @@
     caught_up: bool = True  # whether all that was committed a moment ago is on its disk
     silent_s: float = 0.0  # since it last answered this leader
     gone: bool = False  # whether another incarnation has come at its address
+    leaving: bool = False  # whether it said that its process is about to end
 
     @property
     def lives(self) -> bool:
-        return not self.gone and self.silent_s <= SILENT_S
+        return not self.gone and not self.leaving and self.silent_s <= SILENT_S
 
     @property
     def ready(self) -> bool:
-        return not self.gone and self.caught_up and self.silent_s < READY_S
+        return not self.gone and not self.leaving and self.caught_up and self.silent_s < READY_S
 
 
 @dataclass(frozen=True, slots=True)
