Know stores that are away, and let the jig restart a core machine only once it has ended

Retire answered 404, which ends the order, for a store that is marked lost while it is away or that has come and is not on the roster yet: by reading. Now the one stays to be emptied, and the other is asked for again (503).

--- a/tests/workshop/test_book.py
+++ b/tests/workshop/test_book.py
@@ -97,3 +97,16 @@
     book.from_json(before)
     assert book.check_config(1, 2, "x") == {"again": True}
     assert (book.drained("a"), book.drained("b")) == ((LEAVING, 7), (GONE, 0))
+
+
+def test_a_store_that_is_away_is_known_to_an_order_to_empty_it() -> None:
+    log = Log()
+    place = {"name": "store-1", "addr": "a", "zone": "z", "region": "r"}
+    log.give("roster", set={"disk": {**place, "state": "full"}})
+    log.give("roster", set={"disk": {**place, "state": "lost"}})
+    assert log.give("retire", name="store-2")["status"] == 404
+    assert log.give("retire", name="store-1") == {"ok": True}
+    assert log.book.roster["disk"]["state"] == "retiring"
+    assert log.give("retire", name="store-1") == {"again": True}
+    log.give("roster", drop=["disk"])
+    assert log.book.retired == {"store-1": "completed"}
--- a/tests/workshop/test_contact.py
+++ b/tests/workshop/test_contact.py
@@ -223,3 +223,50 @@
     day.clock.run(6.0)
     assert message.ended
     assert edge.ends[message.id][:2] == ("done", "seal")
+
+
+def started(cores: int) -> Day:
+    """A quiet deployment with so many core machines, 6 s after its start."""
+    day = next(it for it in (Day(seed, "quiet") for seed in range(1, 99)) if it.size.cores == cores)
+    for machine in day.deployment.machines:
+        machine.start()
+    day.clock.later(0.6, day.operator.begin)
+    day.clock.run(BEFORE_S)
+    return day
+
+
+@pytest.mark.parametrize("which", ["leader", "follower"])
+def test_a_voter_that_is_told_to_end_gives_its_vote_away_first(which: str) -> None:
+    day = started(4)
+    leader = day.leader()
+    assert leader is not None
+    voters = [it for it in day.deployment.cores if it.part.vise.voting]
+    assert len(voters) == 3
+    ending = leader if which == "leader" else next(it for it in voters if it is not leader)
+    name = ending.part.vise.me
+    ending.term()
+    while ending.up:
+        day.clock.run(day.clock.now + 0.01)
+        assert day.clock.now < BEFORE_S + 1.0
+    others = [it for it in day.deployment.cores if it is not ending]
+    assert all(it.part.vise.voting for it in others)
+    assert name not in others[0].part.vise.voters
+
+
+def test_members_find_a_relay_while_several_are_silent() -> None:
+    day = started(5)
+    silent = [it for it in day.deployment.cores if not it.part.vise.voting]
+    assert len(silent) == 2
+    gone = {it.address for it in silent}
+    members = [it.part.member for it in day.deployment.edges + day.deployment.stores]
+    member = next(it for it in members if it.relay not in gone)
+    for machine in silent:
+        machine.power_off()
+    day.clock.run(day.clock.now + 2.0)
+    member._known = [it.address for it in silent] + [
+        it.address for it in day.deployment.cores if it not in silent
+    ]
+    member._tried = 0
+    member.broken(member.relay)
+    day.clock.run(day.clock.now + 0.8)
+    assert member.relay != ""
--- a/workshop/jig/control.py
+++ b/workshop/jig/control.py
@@ -264,7 +264,11 @@
     def _term(self, machine: Machine) -> None:
         self.history.trouble(f"{machine.name} is told to end", RESTART_S, marked=True)
         machine.term()
-        self.clock.later(RESTART_S, machine.start)
+
+        def look() -> None:
+            self.clock.later(*((0.05, look) if machine.up else (RESTART_S, machine.start)))
+
+        look()
 
     # -- orders
 
--- a/workshop/machine/core.py
+++ b/workshop/machine/core.py
@@ -98,7 +98,8 @@
 
     def leave(self) -> None:
         """A planned end: another one leads and votes from now on, where there is one."""
-        self._leaves_by = self.world.now() + LEAVE_S
+        if any(not it["voter"] and not it.get("gone") for it in self.vise.members.values()):
+            self._leaves_by = self.world.now() + LEAVE_S
         self.vise.hand_over()
         self._say_leaving()
 
@@ -118,8 +119,7 @@
     @property
     def idle(self) -> bool:
         """Whether a process that was told to end may end: it votes no more, or nobody can in its place."""
-        spare = any(not it["voter"] and not it.get("gone") for it in self.vise.members.values())
-        return self.world.now() >= self._leaves_by or not self.vise.voting or not spare
+        return self.world.now() >= self._leaves_by or not self.vise.voting
 
     def stop(self) -> None:
         self.vise.stop()
@@ -599,6 +599,8 @@
         rest = {disk: it for disk, it in self.book.roster.items() if it["name"] != name}
         if len(rest) < len(self.book.roster) and not self._hold(rest):
             then(Ok({"status": 409, "cause": f"too few stores would be left without {name}"}))
+        elif len(rest) == len(self.book.roster) and name in self.sessions.members(self.world.now()):
+            then(Err(NotTaken.ELSEWHERE))  # it has come, and is not on the roster yet
         else:
             self.vise.propose({"do": "retire", "name": name}, then)
 
--- a/workshop/vise/book.py
+++ b/workshop/vise/book.py
@@ -140,7 +140,9 @@
     def _retire(self, index: int, command: Json) -> Json:
         """A store is to be emptied: none of its copies counts any more, and it takes no new ones."""
         name = command["name"]
-        known = {disk: it for disk, it in self.roster.items() if it["name"] == name and it["state"] != "lost"}
+        mine = {disk: it for disk, it in self.roster.items() if it["name"] == name}
+        # One that is away for now exists all the same, and stays to be emptied once it is back.
+        known = {disk: it for disk, it in mine.items() if it["state"] != "lost"} or mine
         if self.retired.get(name) is not None and not any(it["state"] == "full" for it in known.values()):
             return {"again": True}
         if not known:
