--- a/tests/workshop/test_contact.py
+++ b/tests/workshop/test_contact.py
@@ -189,6 +189,15 @@
 
 def test_all_news_come_page_by_page_before_an_edge_serves(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(news, "PAGE", 2)
+    pages: list[int] = []
+    page_after = news.News.page_after
+
+    def page(self: news.News, after: str) -> Any:
+        items, upto = page_after(self, after)
+        pages.append(len(items))
+        return items, upto
+
+    monkeypatch.setattr(news.News, "page_after", page)
     day = Day(3, "quiet")
     for machine in day.deployment.machines:
         machine.start()
@@ -199,12 +208,15 @@
     edge = day.deployment.edges[0]
     edge.kill()
     edge.start()
+    pages.clear()
     while not edge.part.member.confirmed:
         day.clock.run(day.clock.now + 0.001)
         assert day.clock.now < 7.0
     known = edge.part.news.items
     assert len(known) >= 8
     assert known.keys() == day.deployment.cores[0].part.news.items.keys()
+    assert len(pages) >= 4
+    assert max(pages) == 2
 
 
 def test_a_message_whose_end_the_stores_know_is_not_asked_for_without_end() -> None:
