--- /dev/null
+++ b/tests/workshop/test_killed_steps.py
@@ -0,0 +1,66 @@
+"""A call to an endpoint whose edge is killed, or loses power, at each step of it."""
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+from absl import logging
+
+from workshop.jig.days import TRAFFIC_S, Day
+from workshop.jig.history import Broken
+
+STEPS_MS = (
+    0,
+    2,
+    4,
+    6,
+    9,
+    15,
+    40,
+    64,
+    66,
+    69,
+    75,
+    95,
+)  # after the request: taken in, called, answered, marked
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    """Machines' logs tell nothing here."""
+    before = logging.get_verbosity()
+    logging.set_verbosity(logging.FATAL)
+    yield
+    logging.set_verbosity(before)
+
+
+class KilledAt(Day):
+    """Nothing else is done to any machine; all edges end so long after one message is sent."""
+
+    after_s, power = 0.0, False
+
+    def _plan(self, start: float, end: float) -> None:
+        self.size = replace(self.size, seconds=6.0)
+
+        def send() -> None:
+            self.clients.send("/seq/")
+            self.clock.later(self.after_s, self.strike)
+
+        self.clock.later(start - TRAFFIC_S, send)
+
+    def strike(self) -> None:
+        self.history.trouble("all edges end", 1.0)
+        for edge in self.deployment.edges:
+            edge.power_off() if self.power else edge.kill()
+            self.clock.later(0.8, edge.start)
+
+
+def killed(ms: int, power: bool) -> list[Broken]:
+    day = KilledAt(3, "quiet")
+    day.after_s, day.power = ms / 1000, power
+    return day.play()
+
+
+@pytest.mark.parametrize("power", [False, True])
+def test_a_message_is_neither_lost_nor_mixed_nor_run_again_after_its_success(power: bool) -> None:
+    assert {ms: broken for ms in STEPS_MS if (broken := killed(ms, power))} == {}
