Log and count look-ups that are answered 404, and what a storage node's disk had at its start

Need: the logs of the LOST incident can't tell its hypotheses apart: which storage nodes had answered when an edge node said 404, what each disk had after the restart, and whether outcomes were deleted. Change: counters 'lookups: not found' and 'lookups: unanswered', a line (one a second at most) that names the storage nodes that had and had not answered, a line of what a disk holds at the start, counter 'outcomes deleted'. No logic changes.

--- a/amberlug/cluster/edge/storage_reads.py
+++ b/amberlug/cluster/edge/storage_reads.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from absl import logging
 from result import Ok, Result
 
 from amberlug.cluster.dispatch.message import Message
@@ -18,6 +19,7 @@
 
 READ_TIMEOUT_S = 0.5  # for a storage node, or an edge node that is asked, to answer
 READ_SLACK_S = 0.05  # beyond it, until a read of several nodes ends without those that have not answered
+NOT_FOUND_LOG_INTERVAL_S = 1.0  # at least, between lines about messages that were not found
 
 OutcomeCallback = Callable[[MessageOutcome | None], None]
 
@@ -100,6 +102,7 @@
     """
 
     def __init__(self, context: EdgeContext, message_id: str, on_outcome: OutcomeCallback) -> None:
+        self._context = context
         self._runtime, self._replicator = context.runtime, context.replicator
         self._message_id, self._on_outcome = message_id, on_outcome
         self._answered_disks: set[str] = set()
@@ -126,10 +129,28 @@
                 self._outcomes.append(outcome)
         ended = [outcome for outcome in self._outcomes if not outcome.is_open]
         if ended or self._replicator.covers_all_messages(self._answered_disks):
-            self._finish(next(iter(ended or self._outcomes), NOT_FOUND))
+            outcome = next(iter(ended or self._outcomes), NOT_FOUND)
+            if outcome == NOT_FOUND:
+                self._log_not_found()
+            self._finish(outcome)
+
+    def _log_not_found(self) -> None:
+        """Say on whose answers a message counts as never stored: no client may hear that of one that was."""
+        self._context.count("lookups: not found")
+        stores = self._replicator.stores
+        logging.log_every_n_seconds(
+            logging.INFO,
+            "message %s is not found: %s do not have it, %s have not answered (roster %d)",
+            NOT_FOUND_LOG_INTERVAL_S,
+            self._message_id,
+            sorted(stores[disk].name for disk in self._answered_disks if disk in stores),
+            sorted(store.name for disk, store in stores.items() if disk not in self._answered_disks),
+            self._replicator.roster_index,
+        )
 
     def _timed_out(self) -> None:
         if not self._finished:
+            self._context.count("lookups: unanswered")
             self._finish(None)
 
     def _finish(self, outcome: MessageOutcome | None) -> None:
--- a/amberlug/cluster/storage/node.py
+++ b/amberlug/cluster/storage/node.py
@@ -52,6 +52,13 @@
             **handlers_of(self.gossip),
             **handlers_of(StorageStatus(self.replicas)),
         }
+        open_count = sum(message.outcome.is_open for message in contents.messages.values())
+        logging.info(
+            "disk %s has %d open messages and %d outcomes",
+            contents.disk_id,
+            open_count,
+            len(contents.messages) - open_count,
+        )
         if contents.corrupt_ids:
             logging.error(
                 "%d messages on this disk have a wrong checksum and are skipped", len(contents.corrupt_ids)
--- a/amberlug/cluster/storage/replica_service.py
+++ b/amberlug/cluster/storage/replica_service.py
@@ -264,6 +264,7 @@
         for message_id in expired:
             del messages[message_id]
         if expired:
+            self._count("outcomes deleted", len(expired))
             self._store.write([DeletionRow(message_id) for message_id in expired], ignore_failure)
 
 
