--- a/tests/cluster/test_storage_node.py
+++ b/tests/cluster/test_storage_node.py
@@ -5,7 +5,7 @@
 from amberlug.cluster.interfaces import Json, OnWritten, WriteFailure, WriteFailureReason
 from amberlug.cluster.simulation.clock import Clock
 from amberlug.cluster.storage.node import StorageNode
-from amberlug.cluster.storage.records import StorageRow, StoredContents
+from amberlug.cluster.storage.records import OutcomeRow, StorageRow, StoredContents
 from tests.cluster.fakes import Alone, settings
 
 OUT_OF_SPACE = WriteFailure(WriteFailureReason.OUT_OF_SPACE)
@@ -16,8 +16,10 @@
 
     def __init__(self) -> None:
         self.pending: list[OnWritten] = []
+        self.newest_rows: Sequence[StorageRow] = ()
 
     def write(self, rows: Sequence[StorageRow], on_written: OnWritten) -> None:
+        self.newest_rows = rows
         self.pending.append(on_written)
 
     def read(self, message_ids: Sequence[str], on_read: Callable[[dict[str, bytes]], None]) -> None:
@@ -53,6 +55,32 @@
         return [row[0] for row in self.replies[-1]["open"]]
 
 
+def test_an_outcome_is_reported_and_acknowledged_only_once_it_is_on_disk() -> None:
+    rig = Rig()
+    rig.put(1)
+    rig.disk.finish_write(None)
+    rig.acknowledge("done")
+    rig.request("find", {"ids": ["1-a"]})
+    assert rig.replies[-1]["found"] == {"1-a": ["", ""]}, "its row is not synced yet"
+    rig.disk.finish_write(OUT_OF_SPACE)
+    assert rig.replies[-1] == {"ok": False}
+    rig.acknowledge("done")
+    assert [row for row in rig.disk.newest_rows if isinstance(row, OutcomeRow)], "it is written again"
+    rig.disk.finish_write(None)
+    assert rig.replies[-1] == {"ok": True}
+    rig.request("find", {"ids": ["1-a"]})
+    assert rig.replies[-1]["found"] == {"1-a": ["done", ""]}
+
+
+def test_an_outcome_that_the_disk_rejected_leaves_the_message_open() -> None:
+    rig = Rig()
+    rig.put(1)
+    rig.disk.finish_write(None)
+    rig.acknowledge("done")
+    rig.disk.finish_write(OUT_OF_SPACE)
+    assert rig.open_messages() == ["1-a"]
+
+
 def test_a_message_is_not_stored_if_both_of_its_replica_writes_fail() -> None:
     rig = Rig()
     rig.put(1)
