--- a/amberlug/cluster/dispatch/outcome_delivery.py
+++ b/amberlug/cluster/dispatch/outcome_delivery.py
@@ -1,9 +1,16 @@
-"""Has storage nodes learn how messages ended, until each of them has acknowledged it. No I/O."""
+"""Has storage nodes learn how messages ended, until each of them has acknowledged it. No I/O.
+
+Invariant: an outcome counts as durable only once disks that outlast the tolerated losses acknowledged it,
+by the roster of that moment. Until then further disks take the place of those that do not respond, or that
+have left the roster.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping, Set
+from dataclasses import dataclass, field
 from functools import partial
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -17,36 +24,89 @@
 RETRY_INTERVAL_S = 0.3  # between tries at a storage node that does not respond
 MAX_BATCH = 512  # outcomes in one request
 
+OnDurable = Callable[[], None]
+
+
+class OutcomePlacement(Protocol):
+    """What the delivery knows of the storage nodes."""
+
+    @property
+    def writable_disks(self) -> list[str]:
+        """The disks that take replicas, in the order of the roster."""
+
+    def address_of(self, disk: str) -> str | None:
+        """The address of a disk on the roster, or None."""
+
+    def is_write_quorum(self, disks: Set[str]) -> bool:
+        """Whether what is on these disks outlasts the tolerated losses."""
+
+    def disks_to_add(self, disks: Set[str], turn: int) -> list[str]:
+        """Further disks which make a write quorum of these, where there are enough.
+
+        :param turn: messages with another number take other disks among equals.
+        """
+
+
+@dataclass(slots=True)
+class _Unconfirmed:
+    """An outcome that too few disks have acknowledged."""
+
+    acknowledgement: Acknowledgement
+    disks: set[str] = field(default_factory=set)  # those that have
+    on_durable: list[OnDurable] = field(default_factory=list)
+
 
 class OutcomeDelivery:
-    """The outcomes that storage nodes have not acknowledged, by disk.
+    """The outcomes that storage nodes have not acknowledged, by disk."""
+
+    def __init__(self, runtime: Runtime, health: StoreHealth, placement: OutcomePlacement) -> None:
+        self._runtime, self._health, self._placement = runtime, health, placement
+        self._pending: dict[str, dict[str, Acknowledgement]] = {}  # by disk, by message
+        self._in_flight: set[str] = set()  # disks with a request under way
+        self._unconfirmed: dict[str, _Unconfirmed] = {}  # by message
 
-    :param address_of: the address of a disk on the roster, or None.
-    :param writable: the disks that take replicas, in the order of the roster.
-    """
+    # -- what is to be delivered
 
-    def __init__(
+    def deliver(
         self,
-        runtime: Runtime,
-        health: StoreHealth,
-        address_of: Callable[[str], str | None],
-        writable: Callable[[], list[str]],
+        acknowledgement: Acknowledgement,
+        to_notify: Iterable[str],
+        holders: Iterable[str] = (),
+        on_durable: OnDurable | None = None,
     ) -> None:
-        self._runtime, self._health = runtime, health
-        self._address_of, self._writable = address_of, writable
-        self._pending: dict[str, dict[str, Acknowledgement]] = {}  # by disk, by message
-        self._in_flight: set[str] = set()  # disks with a request under way
+        """Have disks learn an outcome, and others beside them where these are too few.
+
+        :param to_notify: the disks that have to learn it.
+        :param holders: the disks that have it already.
+        :param on_durable: called once, when enough disks have it; before this returns where they do already.
+        """
+        message_id = acknowledgement.message_id
+        entry = self._unconfirmed.setdefault(message_id, _Unconfirmed(acknowledgement))
+        entry.disks.update(holders)
+        if on_durable is not None:
+            entry.on_durable.append(on_durable)
+        for disk in to_notify:
+            self._add(disk, acknowledgement)
+        if self._confirm_if_durable(message_id):
+            return
+        self._extend(entry, self._pending)
+
+    def is_unconfirmed(self, message_id: str) -> bool:
+        """Whether the outcome of a message is not on enough disks yet."""
+        return message_id in self._unconfirmed
+
+    @property
+    def unconfirmed_count(self) -> int:
+        """How many outcomes are not on enough disks yet."""
+        return len(self._unconfirmed)
 
-    def forget_except(self, disks: Mapping[str, object]) -> None:
-        """Forget what is pending for all disks but these."""
+    def roster_changed(self, disks: Mapping[str, object]) -> None:
+        """Forget what is pending for all disks but these, and count acknowledgements by the new roster."""
         for disk in set(self._pending) - set(disks):
             del self._pending[disk]
-
-    def add(self, disk: str, acknowledgement: Acknowledgement) -> None:
-        """Have a disk learn an outcome with the next batch."""
-        if not self._pending.get(disk) and disk not in self._in_flight:
-            self._runtime.call_later(BATCH_INTERVAL_S, partial(self._send, disk))
-        self._pending.setdefault(disk, {})[acknowledgement.message_id] = acknowledgement
+        for message_id, entry in list(self._unconfirmed.items()):
+            if not self._confirm_if_durable(message_id):
+                self._extend(entry, self._pending)
 
     def pending(self) -> dict[str, Acknowledgement]:
         """By message: the outcomes that some disk has not acknowledged."""
@@ -62,8 +122,51 @@
             len(by_message) for disk, by_message in self._pending.items() if not self._health.is_suspect(disk)
         )
 
+    # -- quorums
+
+    def _confirm_if_durable(self, message_id: str) -> bool:
+        """Report an outcome that enough disks have acknowledged by now.
+
+        :returns: whether it is durable.
+        """
+        entry = self._unconfirmed.get(message_id)
+        if entry is None:
+            return True
+        if not self._placement.is_write_quorum(entry.disks):
+            return False
+        del self._unconfirmed[message_id]
+        for on_durable in entry.on_durable:
+            on_durable()
+        return True
+
+    def _extend(self, entry: _Unconfirmed, notified: Iterable[str]) -> None:
+        """Have further disks learn an outcome, where those that are being notified are too few.
+
+        :param notified: the disks whose acknowledgement is expected.
+        """
+        message_id = entry.acknowledgement.message_id
+        expected = entry.disks.union(disk for disk in notified if message_id in self._pending[disk])
+        for disk in self._placement.disks_to_add(expected, entry.acknowledgement.shard):
+            self._add(disk, entry.acknowledgement)
+
+    def _replace_unresponsive(self, batch: tuple[Acknowledgement, ...]) -> None:
+        """Have further disks learn what one did not acknowledge."""
+        responsive = [disk for disk in self._pending if not self._health.is_suspect(disk)]
+        for acknowledgement in batch:
+            entry = self._unconfirmed.get(acknowledgement.message_id)
+            if entry is not None:
+                self._extend(entry, responsive)
+
+    # -- requests
+
+    def _add(self, disk: str, acknowledgement: Acknowledgement) -> None:
+        """Have a disk learn an outcome with the next batch."""
+        if not self._pending.get(disk) and disk not in self._in_flight:
+            self._runtime.call_later(BATCH_INTERVAL_S, partial(self._send, disk))
+        self._pending.setdefault(disk, {})[acknowledgement.message_id] = acknowledgement
+
     def _send(self, disk: str) -> None:
-        address, pending = self._address_of(disk), self._pending.get(disk)
+        address, pending = self._placement.address_of(disk), self._pending.get(disk)
         if address is None or not pending or disk in self._in_flight:
             return
         self._in_flight.add(disk)
@@ -82,28 +185,21 @@
         self._in_flight.discard(disk)
         if isinstance(reply, Ok):
             self._health.response_received(disk, sent_at)
-        if isinstance(reply, Err) or not reply.ok_value.durable:
-            self._add_substitute(disk, batch)
+        if isinstance(reply, Err) or not reply.ok_value.is_durable_on(disk):
+            self._health.suspect(disk, RETRY_INTERVAL_S)
+            self._replace_unresponsive(batch)
             self._runtime.call_later(RETRY_INTERVAL_S, partial(self._send, disk))
             return
+        self._on_acknowledged(disk, batch)
+
+    def _on_acknowledged(self, disk: str, batch: tuple[Acknowledgement, ...]) -> None:
         pending = self._pending.get(disk, {})
         for acknowledgement in batch:
-            pending.pop(acknowledgement.message_id, None)
+            message_id = acknowledgement.message_id
+            pending.pop(message_id, None)
+            entry = self._unconfirmed.get(message_id)
+            if entry is not None:
+                entry.disks.add(disk)
+                self._confirm_if_durable(message_id)
         if pending:
             self._runtime.call_later(BATCH_INTERVAL_S, partial(self._send, disk))
-
-    def _add_substitute(self, unresponsive: str, batch: tuple[Acknowledgement, ...]) -> None:
-        """Have a further disk learn what one did not acknowledge, so that enough of them know it."""
-        self._health.suspect(unresponsive, RETRY_INTERVAL_S)
-        disk = next(self._substitutes(unresponsive), None)
-        if disk is None:
-            return
-        pending = self._pending.setdefault(disk, {})
-        for acknowledgement in batch:
-            pending.setdefault(acknowledgement.message_id, acknowledgement)
-        self._runtime.call_later(0.0, partial(self._send, disk))
-
-    def _substitutes(self, unresponsive: str) -> Iterator[str]:
-        return (
-            disk for disk in self._writable() if disk != unresponsive and not self._health.is_suspect(disk)
-        )
--- /dev/null
+++ b/amberlug/cluster/dispatch/outcome_repair.py
@@ -0,0 +1,188 @@
+"""Brings the outcomes of ended messages to enough storage nodes after one was lost or retires. No I/O.
+
+An outcome is recorded on a write quorum of the disks of its moment. Once one of these leaves the roster, the
+others may be too few: a read quorum of the new roster could miss them, and a client would be told that there
+is no such message; and the next loss could take the last one, and an open replica elsewhere would run again.
+So the owner of a shard reads the outcomes that each disk has, and records those anew that are on too few. The
+disk is dropped only after all owners have done so.
+
+Invariant: a pass is complete only once so many disks were read to their ends that the others on the roster,
+lost ones included, can't be all that have an outcome, and each outcome that was found is on a write quorum.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import partial
+
+from absl import logging
+from result import Err, Result
+
+from amberlug.cluster.dispatch.replicator import Replicator
+from amberlug.cluster.interfaces import RequestFailure, Runtime
+from amberlug.cluster.rpc.messages import request
+from amberlug.cluster.storage.messages import Acknowledgement, EndedMessagesReply, EndedMessagesRequest
+
+READ_TIMEOUT_S = 1.0  # for one page
+READ_RETRY_S = 0.25  # until a storage node that did not respond is asked again
+START_DELAY_S = 0.2  # open messages come first: they are read and repaired at the same moments
+PATIENCE_S = 1.0  # for storage nodes that do not respond, where those that were read are enough
+
+_Cursor = tuple[int, str]
+_START: _Cursor = (-1, "")
+
+
+class OutcomeRepairs:
+    """The passes of one edge node: over all its shards after a disk is lost, over those that it gains."""
+
+    def __init__(self, runtime: Runtime, replicator: Replicator) -> None:
+        self._runtime, self._replicator = runtime, replicator
+        self._passes: list[OutcomeRepair] = []
+
+    @property
+    def unfinished(self) -> int:
+        """Passes that are not complete: until then no disk may be dropped."""
+        return len(self._passes)
+
+    def repair(self, shards: Iterable[int]) -> None:
+        """Bring the outcomes of these shards to enough disks."""
+        shards = tuple(shards)
+        if not shards:
+            return
+        new_pass = OutcomeRepair(self._runtime, self._replicator, shards, self._remove_finished)
+        self._passes.append(new_pass)
+        self._runtime.call_later(START_DELAY_S, new_pass.begin)
+
+    def repair_anew(self, shards: Iterable[int]) -> None:
+        """Do so for all owned shards by a roster with fewer disks that count, in place of earlier passes."""
+        for earlier in self._passes:
+            earlier.cancel()
+        self._passes.clear()
+        self.repair(shards)
+
+    def roster_changed(self) -> None:
+        """Go on by a roster that has no fewer disks that count."""
+        for each in list(self._passes):
+            each.roster_changed()
+
+    def _remove_finished(self) -> None:
+        self._passes = [each for each in self._passes if not each.is_over]
+
+
+class OutcomeRepair:
+    """One pass over the outcomes of some shards.
+
+    :param shards: their numbers.
+    :param on_complete: called once, unless the pass is cancelled.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        replicator: Replicator,
+        shards: Iterable[int],
+        on_complete: Callable[[], None],
+    ) -> None:
+        self._runtime, self._replicator = runtime, replicator
+        self._shards = tuple(sorted(shards))
+        self._on_complete = on_complete
+        self._read_disks: set[str] = set()
+        self._in_flight: set[str] = set()
+        self._outcomes: dict[str, Acknowledgement] = {}  # by message: the one that is retained longest
+        self._holders: dict[str, set[str]] = {}  # by message: the disks that have its outcome
+        self._restoring = 0  # outcomes that are being recorded on further disks
+        self._is_patient = True  # it waits for storage nodes that do not respond
+        self._has_begun = False
+        self._is_restoring = False  # enough disks were read
+        self.is_over = False
+
+    def begin(self) -> None:
+        """Start to read the disks of the roster."""
+        self._has_begun = True
+        self._runtime.call_later(PATIENCE_S, self._lose_patience)
+        self._read_on()
+
+    def cancel(self) -> None:
+        """End without a report: another pass takes its place."""
+        self.is_over = True
+
+    def roster_changed(self) -> None:
+        """Go on without disks that are not on the roster any more, and read those that have joined."""
+        if self._has_begun:
+            self._read_on()
+
+    def _lose_patience(self) -> None:
+        self._is_patient = False
+        self._read_on()
+
+    # -- reading
+
+    def _read_on(self) -> None:
+        """Read the disks that were not read; once they were, restore what is on too few."""
+        if self.is_over or self._is_restoring:
+            return
+        unread = set(self._replicator.readable_disks) - self._read_disks
+        for disk in sorted(unread - self._in_flight):
+            self._request_page(disk, _START)
+        if (not unread or not self._is_patient) and self._replicator.covers_all_messages(self._read_disks):
+            self._restore()
+
+    def _request_page(self, disk: str, after: _Cursor) -> None:
+        address = self._replicator.address_of(disk)
+        if self.is_over or address is None:
+            self._in_flight.discard(disk)
+            return
+        self._in_flight.add(disk)
+        on_reply = partial(self._on_page, disk, after)
+        request(self._runtime, address, EndedMessagesRequest(self._shards, after), READ_TIMEOUT_S, on_reply)
+
+    def _on_page(self, disk: str, after: _Cursor, reply: Result[EndedMessagesReply, RequestFailure]) -> None:
+        if self.is_over or self._is_restoring:
+            return
+        if isinstance(reply, Err) or reply.ok_value.disk_id != disk:
+            # The storage node is down, or has another disk by now, and the roster is on its way.
+            self._runtime.call_later(READ_RETRY_S, partial(self._request_page, disk, after))
+            return
+        page = reply.ok_value
+        for acknowledgement in page.acknowledgements:
+            self._add(disk, acknowledgement)
+        if page.has_more:
+            last = page.acknowledgements[-1]
+            self._request_page(disk, (last.shard, last.message_id))
+            return
+        self._in_flight.discard(disk)
+        self._read_disks.add(disk)
+        self._read_on()
+
+    def _add(self, disk: str, acknowledgement: Acknowledgement) -> None:
+        message_id = acknowledgement.message_id
+        known = self._outcomes.get(message_id)
+        if known is None or known.retain_until < acknowledgement.retain_until:
+            self._outcomes[message_id] = acknowledgement
+        self._holders.setdefault(message_id, set()).add(disk)
+
+    # -- restoring
+
+    def _restore(self) -> None:
+        """Record on further disks what is on too few of them, and not about to be deleted."""
+        self._is_restoring = True
+        now = self._runtime.wall_clock()
+        scarce = [
+            acknowledgement
+            for message_id, acknowledgement in self._outcomes.items()
+            if acknowledgement.retain_until > now
+            and not self._replicator.is_write_quorum(self._holders[message_id])
+        ]
+        if scarce:
+            logging.info("%d outcomes are recorded on further storage nodes", len(scarce))
+        self._restoring = len(scarce) + 1
+        for acknowledgement in scarce:
+            holders = self._holders[acknowledgement.message_id]
+            self._replicator.restore_outcome(acknowledgement, holders, self._on_restored)
+        self._on_restored()
+
+    def _on_restored(self) -> None:
+        self._restoring -= 1
+        if self._restoring == 0 and not self.is_over:
+            self.is_over = True
+            self._on_complete()
--- a/amberlug/cluster/dispatch/replica_write.py
+++ b/amberlug/cluster/dispatch/replica_write.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Mapping, Set
 from enum import Enum
+from functools import partial
 from typing import Protocol
 
 from result import Err, Ok, Result
@@ -71,8 +72,13 @@
     def is_write_quorum(self, disks: Set[str]) -> bool:
         """Whether replicas on these disks outlast what may be lost at once."""
 
-    def record_outcome(self, message: Message, outcome: MessageOutcome) -> None:
-        """Have the storage nodes learn how a message ended."""
+    def record_outcome(
+        self, message: Message, outcome: MessageOutcome, on_durable: Callable[[], None] | None = None
+    ) -> None:
+        """Have the storage nodes learn how a message ended.
+
+        :param on_durable: called once, when the outcome is on enough disks.
+        """
 
 
 class ReplicaWrite:
@@ -101,6 +107,7 @@
         self._in_flight: set[str] = set()
         self._is_over = False
         self._may_exist = False  # a request failed that may have been acted on
+        self._has_ended = False  # a storage node knows that the message ended under an earlier owner
         self._timer: TimerHandle | None = None
         self._deadline = replicator.runtime.now() + WRITE_TIMEOUT_S
         accepted_epoch, sequence = message.position
@@ -147,7 +154,7 @@
         for disk in sorted(self._in_flight):
             self.replicator.health.suspect(disk, HEDGE_INTERVAL_S)
         self._drop_removed()
-        if self._remaining:
+        if self._remaining and not self._has_ended:
             self._send(self._remaining[0])
         self._schedule_hedge()
 
@@ -194,15 +201,26 @@
         self.replicator.health.suspect(disk, SUSPECT_TIMED_OUT_S if is_timeout else SUSPECT_DISCONNECTED_S)
 
     def _on_stored(self, reply: ReplicaWriteReply) -> None:
-        self.message.holders.add(reply.disk_id)  # not the disk that was meant, if the machine has a new one
         if not reply.outcome.is_open:  # it was admitted by an earlier owner, and has ended
-            self.message.outcome = reply.outcome
-            self.complete(ReplicationOutcome.REPLICATED)
-        elif not self.message.outcome.is_open:
+            self._on_ended_earlier(reply)
+            return
+        self.message.holders.add(reply.disk_id)  # not the disk that was meant, if the machine has a new one
+        if not self.message.outcome.is_open:
             self.replicator.record_outcome(self.message, self.message.outcome)
 
+    def _on_ended_earlier(self, reply: ReplicaWriteReply) -> None:
+        """End once the outcome, which perhaps this one disk alone knows, is on enough disks."""
+        self.message.possible_holders.add(reply.disk_id)
+        self._may_exist = True
+        if not self._has_ended:
+            self._has_ended = True
+            on_durable = partial(self.complete, ReplicationOutcome.REPLICATED)
+            self.replicator.record_outcome(self.message, reply.outcome, on_durable)
+
     def _continue(self) -> None:
         """End where enough replicas are durable, else ask a further storage node where it is needed."""
+        if self._has_ended:
+            return  # its outcome is being recorded: no further replica is needed
         if self.replicator.is_write_quorum(self.message.holders):
             self.complete(ReplicationOutcome.REPLICATED)
             return
--- a/amberlug/cluster/dispatch/replicator.py
+++ b/amberlug/cluster/dispatch/replicator.py
@@ -14,7 +14,7 @@
 from amberlug.cluster.control.published_state import StorageRoster
 from amberlug.cluster.control.state_entries import StoreEntry, StoreState
 from amberlug.cluster.dispatch.message import Message
-from amberlug.cluster.dispatch.outcome_delivery import OutcomeDelivery
+from amberlug.cluster.dispatch.outcome_delivery import OnDurable, OutcomeDelivery
 from amberlug.cluster.dispatch.replica_write import ReplicationOutcome, ReplicaWrite
 from amberlug.cluster.dispatch.store_health import PROBE_INTERVAL_S, SUSPECT_DISCONNECTED_S, StoreHealth
 from amberlug.cluster.interfaces import RequestFailure, Runtime
@@ -50,15 +50,16 @@
         self.stores: Mapping[str, StoreEntry] = {}  # the roster, by disk
         self.roster_index = 0  # its log index; 0 where none is known
         self.health = StoreHealth(runtime)
-        self._outcomes = OutcomeDelivery(runtime, self.health, self._address_of, lambda: self.writable_disks)
+        self._outcomes = OutcomeDelivery(runtime, self.health, self)
 
     def update_roster(self, roster: StorageRoster) -> None:
         """Use a newer roster."""
         self.stores, self.roster_index = roster.stores, roster.index
-        self._outcomes.forget_except(self.stores)
         self.health.forget_except(self.stores)
+        self._outcomes.roster_changed(self.stores)
 
-    def _address_of(self, disk: str) -> str | None:
+    def address_of(self, disk: str) -> str | None:
+        """The address of a disk on the roster, or None."""
         return self.stores[disk].address if disk in self.stores else None
 
     @property
@@ -66,6 +67,11 @@
         """The disks that take replicas."""
         return [disk for disk, store in self.stores.items() if store.state is StoreState.FULL]
 
+    @property
+    def readable_disks(self) -> list[str]:
+        """The disks that are not known to be lost."""
+        return [disk for disk, store in self.stores.items() if store.state is not StoreState.LOST]
+
     # -- quorums
 
     def is_quorum(self, disks: Set[str]) -> bool:
@@ -134,10 +140,32 @@
         Those that are not suspect come first, then those in this zone, then those in this region. Messages
         take turns among equals, by their shard and number.
         """
+        return self._ranked_disks(message.shard + message.position[1])
+
+    def _ranked_disks(self, turn: int) -> list[str]:
         disks = sorted(self.writable_disks)
-        offset = (message.shard + message.position[1]) % max(1, len(disks))
+        offset = turn % max(1, len(disks))
         return sorted(disks[offset:] + disks[:offset], key=self._distance)
 
+    def disks_to_add(self, disks: Set[str], turn: int) -> list[str]:
+        """Further disks which make a write quorum of these, where there are enough.
+
+        :param turn: messages with another number take other disks among equals.
+        """
+        return self._first_for_quorum(disks, self._ranked_disks(turn))
+
+    def _first_for_quorum(self, disks: Set[str], candidates: list[str]) -> list[str]:
+        """The first of the candidates which make a write quorum of some disks; all, if these are too few."""
+        extended = set(disks)
+        added: list[str] = []
+        for disk in candidates:
+            if self.is_write_quorum(extended):
+                break
+            if disk not in extended:
+                added.append(disk)
+                extended.add(disk)
+        return added
+
     def _distance(self, disk: str) -> _Distance:
         store = self.stores[disk]
         return _Distance(self.health.is_suspect(disk), store.zone != self._zone, store.region != self._region)
@@ -155,26 +183,49 @@
 
     # -- outcomes
 
-    def record_outcome(self, message: Message, outcome: MessageOutcome) -> None:
+    def record_outcome(
+        self, message: Message, outcome: MessageOutcome, on_durable: OnDurable | None = None
+    ) -> None:
         """Have the storage nodes know how a message ended.
 
         All that may have a replica are notified, so that none brings the message back as open; and enough
         of them for the outcome to outlive the tolerated losses.
+
+        :param on_durable: called once, when the outcome is on enough disks.
         """
         message.outcome = outcome
-        retain_until = max(self.runtime.wall_clock() + self._outcome_retention_s, message.keep_until)
+        retain_until = max(self.default_retain_until(), message.keep_until)
         acknowledgement = Acknowledgement(message.id, message.shard, outcome, round(retain_until, 3))
-        for disk in sorted(self._disks_to_notify(message)):
-            if self.stores[disk].state is not StoreState.LOST:
-                self._outcomes.add(disk, acknowledgement)
-
-    def _disks_to_notify(self, message: Message) -> set[str]:
-        disks = {disk for disk in message.holders | message.possible_holders if disk in self.stores}
-        for disk in self.preferred_disks(message):
-            if self.is_write_quorum(disks):
-                break
-            disks.add(disk)
-        return disks
+        to_notify = [
+            disk
+            for disk in sorted(message.holders | message.possible_holders)
+            if disk in self.stores and self.stores[disk].state is not StoreState.LOST
+        ]
+        self._outcomes.deliver(acknowledgement, to_notify, on_durable=on_durable)
+
+    def restore_outcome(
+        self,
+        acknowledgement: Acknowledgement,
+        holders: Set[str],
+        on_durable: OnDurable,
+        responsive: Set[str] = frozenset(),
+    ) -> None:
+        """Have an outcome that some disks know on enough of them.
+
+        :param holders: the disks on which it is durable.
+        :param on_durable: called once, when the outcome is on enough disks.
+        :param responsive: disks that have just answered: they are preferred.
+        """
+        to_notify = self._first_for_quorum(holders, sorted(responsive & set(self.writable_disks)))
+        self._outcomes.deliver(acknowledgement, to_notify, holders, on_durable)
+
+    def default_retain_until(self) -> float:
+        """Until when an outcome is to be known that is recorded now: wall-clock seconds."""
+        return self.runtime.wall_clock() + self._outcome_retention_s
+
+    def is_outcome_unconfirmed(self, message_id: str) -> bool:
+        """Whether a message's outcome was recorded here and is not on enough disks yet."""
+        return self._outcomes.is_unconfirmed(message_id)
 
     def unacknowledged_outcomes(self) -> dict[str, Acknowledgement]:
         """By message: the outcomes that some storage node has not acknowledged."""
@@ -182,5 +233,5 @@
 
     @property
     def pending_outcomes(self) -> int:
-        """How many acknowledgements of outcomes storage nodes owe that respond."""
-        return self._outcomes.count_at_responsive()
+        """How many outcomes are on too few disks, or not acknowledged by storage nodes that respond."""
+        return max(self._outcomes.unconfirmed_count, self._outcomes.count_at_responsive())
--- a/amberlug/cluster/dispatch/shard_owner.py
+++ b/amberlug/cluster/dispatch/shard_owner.py
@@ -61,12 +61,14 @@
     :param release: delivers the messages of a shard no longer, and returns them.
     :param call_ended: applies the end of a call at the previous owner, of a message that is admitted here.
     :param is_admitted: whether a message is being delivered, or is known to have ended.
+    :param is_safe: whether an admitted message, or its outcome, is on enough disks.
     """
 
     admit: Callable[[Message], None]
     release: Callable[[int], list[Message]]
     call_ended: Callable[[CallEnded], None]
     is_admitted: Callable[[str], bool]
+    is_safe: Callable[[str], bool]
 
 
 class ShardOwner:
@@ -277,6 +279,8 @@
         """
         ended = self._previous_owners.pop_early_end(message.id)
         if ended is not None and not ended.outcome.is_open:
+            # The previous owner may end before enough storage nodes have it from that one.
+            self._replicator.record_outcome(message, ended.outcome)
             self._delivery.call_ended(CallEnded(message.id, ended.outcome, False))
             return
         if ended is not None:
@@ -316,9 +320,14 @@
             on_complete(AdmissionOutcome.REJECTED)
 
     def _joins_earlier(self, message: Message, on_complete: AdmissionCallback) -> bool:
-        """Whether an earlier submission of the same message answers this one."""
+        """Whether an earlier submission of the same message answers this one.
+
+        One that was recovered from too few disks is not acknowledged before it is repaired: the client's next
+        try finds it so.
+        """
         if self._delivery.is_admitted(message.id):
-            on_complete(AdmissionOutcome.ACCEPTED)
+            is_safe = self._delivery.is_safe(message.id)
+            on_complete(AdmissionOutcome.ACCEPTED if is_safe else AdmissionOutcome.OUTCOME_UNKNOWN)
             return True
         if message.id in self.pending_writes:
             self.pending_writes[message.id].append(on_complete)
--- a/amberlug/cluster/edge/delivery.py
+++ b/amberlug/cluster/edge/delivery.py
@@ -34,7 +34,9 @@
         self._context, self._reader = context, reader
         self.queue = DeliveryQueue(context.runtime, self._dispatch)
         self.outcomes = RecentOutcomes()
-        callbacks = DeliveryCallbacks(self.add, self.release_shard, self._on_call_ended, self._is_admitted)
+        callbacks = DeliveryCallbacks(
+            self.add, self.release_shard, self._on_call_ended, self._is_admitted, self._is_safe
+        )
         self.shard_owner = ShardOwner(context.runtime, context.replicator, context.session.id, callbacks)
         self.dispatchers = ServiceDispatchers(context, self.shard_owner, endpoints, self._call_finished)
         self.pending_bytes = 0  # of the bodies of the messages in `queue`
@@ -59,6 +61,14 @@
     def _is_admitted(self, message_id: str) -> bool:
         return message_id in self.queue.messages or message_id in self.outcomes
 
+    def _is_safe(self, message_id: str) -> bool:
+        """Whether an admitted message, or its outcome, is on so many disks that it may be acknowledged."""
+        replicator = self._context.replicator
+        message = self.queue.messages.get(message_id)
+        if message is not None:
+            return replicator.is_write_quorum(message.holders)
+        return not replicator.is_outcome_unconfirmed(message_id)
+
     # Messages arrive: accepted from a client, or read from storage by a new owner.
 
     def add(self, message: Message) -> None:
--- a/amberlug/cluster/edge/lookup.py
+++ b/amberlug/cluster/edge/lookup.py
@@ -9,7 +9,7 @@
 from amberlug.cluster.edge.context import EdgeContext
 from amberlug.cluster.edge.delivery import MessageDelivery
 from amberlug.cluster.edge.outcomes import NOT_FOUND
-from amberlug.cluster.edge.storage_reads import READ_TIMEOUT_S, OutcomeCallback, StorageReader
+from amberlug.cluster.edge.storage_reads import READ_TIMEOUT_S, FoundBody, OutcomeCallback, StorageReader
 from amberlug.cluster.http.api import HttpRequest, HttpResponse, RespondHttp, api_call
 from amberlug.cluster.interfaces import RequestFailure
 from amberlug.cluster.rpc.messages import Responder, handles, request
@@ -37,9 +37,7 @@
         if pending is not None and pending.body is not None:
             respond(HttpResponse(200, {"blob": pending.body}))
             return
-        self._reader.find_body(name, lambda body: respond(_body_response(body)))
-        if not self._context.replicator.stores:
-            respond(HttpResponse(503, {"cause": "no store is known"}, RETRY_AFTER_S))
+        self._reader.find_body(name, lambda found: respond(_body_response(found)))
 
     @handles(StandingRequest)
     def on_standing(self, question: StandingRequest, origin: str, respond: Responder) -> None:
@@ -47,12 +45,18 @@
         respond(StandingReply(self.local_outcome(question.message_id)))
 
     def local_outcome(self, message_id: str) -> MessageOutcome | None:
-        """The status of a message by this node's memory; None where it is not there."""
+        """The status of a message by this node's memory; None where it is not there.
+
+        Invariant: a message is told to have ended only once its outcome outlasts the tolerated losses. Else a
+        client could see it as pending again.
+        """
         if (
             message_id in self._delivery.queue.messages
             or message_id in self._delivery.shard_owner.pending_writes
         ):
             return OPEN
+        if self._context.replicator.is_outcome_unconfirmed(message_id):
+            return None  # the storage nodes are asked, and have learned it before it is told
         return self._delivery.outcomes.get(message_id)
 
     def find_outcome(self, message_id: str, on_outcome: OutcomeCallback) -> None:
@@ -90,7 +94,9 @@
     return HttpResponse(200, {"condition": "pending" if outcome.is_open else "failed"})
 
 
-def _body_response(body: bytes | None) -> HttpResponse:
-    if body is None:
-        return HttpResponse(404, {"cause": "no store has its bytes now"})
-    return HttpResponse(200, {"blob": body})
+def _body_response(found: FoundBody) -> HttpResponse:
+    if found.body is not None:
+        return HttpResponse(200, {"blob": found.body})
+    if found.is_certain:
+        return HttpResponse(404, {"cause": "no store has its bytes"})
+    return HttpResponse(503, {"cause": "too few stores answer"}, RETRY_AFTER_S)
--- a/amberlug/cluster/edge/node.py
+++ b/amberlug/cluster/edge/node.py
@@ -185,6 +185,7 @@
             self.apply_routes(build(index, body))
         elif key == SHARD_TABLE_KEY:
             self.shard_owner.update_table(ShardTable.from_wire(index, body))
+            self.repair.apply_shard_table()
             self.delivery.dispatchers.update_rate_share()
         elif key == ROSTER_KEY:
             self.repair.apply_roster(StorageRoster.from_wire(index, body))
--- a/amberlug/cluster/edge/repair.py
+++ b/amberlug/cluster/edge/repair.py
@@ -1,4 +1,4 @@
-"""Restores replicas of messages that too few storage nodes hold. No I/O."""
+"""Restores replicas and outcomes of messages that too few storage nodes hold. No I/O."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from amberlug.cluster.control.published_state import StorageRoster
 from amberlug.cluster.control.session_attributes import EdgeAttributes
 from amberlug.cluster.dispatch.message import Message
+from amberlug.cluster.dispatch.outcome_repair import OutcomeRepairs
 from amberlug.cluster.edge.context import EdgeContext
 from amberlug.cluster.edge.delivery import MessageDelivery
 from amberlug.cluster.edge.storage_reads import StorageReader
@@ -20,7 +21,9 @@
 
     def __init__(self, context: EdgeContext, delivery: MessageDelivery, reader: StorageReader) -> None:
         self._context, self._delivery, self._reader = context, delivery, reader
+        self._outcome_repairs = OutcomeRepairs(context.runtime, context.replicator)
         self._in_progress: set[str] = set()  # ids of messages
+        self._owned_epochs: dict[int, int] = {}  # of the shards that are owned by the newest table
         self._roster_changed_at = 0.0
 
     def begin(self) -> None:
@@ -30,7 +33,12 @@
     def apply_roster(self, roster: StorageRoster) -> None:
         """Count replicas by a new roster of storage nodes."""
         replicator = self._context.replicator
+        counted_before = set(replicator.writable_disks)
         replicator.update_roster(roster)
+        if counted_before <= set(replicator.writable_disks):
+            self._outcome_repairs.roster_changed()
+        else:
+            self._outcome_repairs.repair_anew(self._delivery.shard_owner.owned)
         self._roster_changed_at = self._context.runtime.now()
         self._delivery.shard_owner.roster_changed()
         self._delivery.under_replicated = {
@@ -39,6 +47,13 @@
             if not replicator.is_write_quorum(message.holders)
         }
 
+    def apply_shard_table(self) -> None:
+        """Repair the outcomes of shards that were gained: their previous owner may not have finished."""
+        owned = {number: shard.epoch for number, shard in self._delivery.shard_owner.owned.items()}
+        gained = [number for number, epoch in owned.items() if self._owned_epochs.get(number) != epoch]
+        self._owned_epochs = owned
+        self._outcome_repairs.repair(gained)
+
     def progress(self) -> EdgeAttributes:
         """How far this node is with the newest roster that it knows."""
         shard_owner = self._delivery.shard_owner
@@ -51,7 +66,9 @@
             roster_index=self._context.replicator.roster_index,
             shard_table_index=shard_owner.table.index,
             recovering_shards=unread_shards + shard_owner.unfenced_recoveries,
-            under_replicated_messages=len(self._delivery.under_replicated) + early_writes,
+            under_replicated_messages=len(self._delivery.under_replicated)
+            + early_writes
+            + self._outcome_repairs.unfinished,
         )
 
     def _search(self) -> None:
--- a/amberlug/cluster/edge/storage_reads.py
+++ b/amberlug/cluster/edge/storage_reads.py
@@ -8,14 +8,15 @@
 from absl import logging
 from result import Ok, Result
 
-from amberlug.cluster.dispatch.message import Message
+from amberlug.cluster.dispatch.message import Message, shard_in
 from amberlug.cluster.edge.context import EdgeContext
 from amberlug.cluster.edge.outcomes import NOT_FOUND
 from amberlug.cluster.interfaces import RequestFailure
 from amberlug.cluster.rpc.messages import request
 from amberlug.cluster.storage.content_messages import ContentReply, ContentRequest
-from amberlug.cluster.storage.messages import OutcomesReply, OutcomesRequest
-from amberlug.cluster.storage.outcomes import MessageOutcome
+from amberlug.cluster.storage.messages import Acknowledgement, OutcomesReply, OutcomesRequest
+from amberlug.cluster.storage.outcomes import OPEN, MessageOutcome
+from amberlug.cluster.values import value
 
 READ_TIMEOUT_S = 0.5  # for a storage node, or an edge node that is asked, to answer
 READ_SLACK_S = 0.05  # beyond it, until a read of several nodes ends without those that have not answered
@@ -24,6 +25,17 @@
 OutcomeCallback = Callable[[MessageOutcome | None], None]
 
 
+@value
+class FoundBody:
+    """What storage nodes answered about a body.
+
+    :param is_certain: whether those without it are so many that the others alone can't have it.
+    """
+
+    body: bytes | None
+    is_certain: bool = False
+
+
 class StorageReader:
     """Reads messages from the storage nodes of the roster."""
 
@@ -54,30 +66,34 @@
         disk = self._context.runtime.rng.choice(replicas)
         self._request_body(storage_nodes[disk].address, message.id, receive)
 
-    def find_body(self, message_id: str, on_body: Callable[[bytes | None], None]) -> None:
+    def find_body(self, message_id: str, on_body: Callable[[FoundBody], None]) -> None:
         """Read the body of a message from all storage nodes.
 
-        :param on_body: called once, with the first body that comes, or with None once none has it. It is not
-            called where there is no storage node.
+        :param on_body: called once, with the first body that comes, or once no further answer can come.
         """
         storage_nodes = self._context.replicator.stores
+        without_body: set[str] = set()
         unanswered = len(storage_nodes)
         finished = False
 
-        def receive(reply: Result[ContentReply, RequestFailure]) -> None:
+        def receive(disk: str, reply: Result[ContentReply, RequestFailure]) -> None:
             nonlocal unanswered, finished
             unanswered -= 1
             if finished:
                 return
             if isinstance(reply, Ok) and reply.ok_value.content is not None:
                 finished = True
-                on_body(reply.ok_value.content)
-            elif unanswered == 0:
-                finished = True
-                on_body(None)
+                on_body(FoundBody(reply.ok_value.content))
+                return
+            if isinstance(reply, Ok) and reply.ok_value.disk_id in ("", disk):
+                without_body.add(disk)
+            if unanswered == 0:
+                on_body(FoundBody(None, self._context.replicator.covers_all_messages(without_body)))
 
-        for storage_node in storage_nodes.values():
-            self._request_body(storage_node.address, message_id, receive)
+        if not storage_nodes:
+            on_body(FoundBody(None))
+        for disk, storage_node in storage_nodes.items():
+            self._request_body(storage_node.address, message_id, partial(receive, disk))
 
     def find_outcome(self, message_id: str, deadline: float, on_outcome: OutcomeCallback) -> None:
         """Ask all storage nodes for the status of a message.
@@ -97,8 +113,9 @@
     """One request to all storage nodes for the status of a message.
 
     Invariant: a message is reported as open or as not found only if the storage nodes that have answered are
-    so many that the others alone can't hold a message (a read quorum). That it has ended is reported at once,
-    since an end is final.
+    so many that the others alone can't hold a message (a read quorum), and none of them knows a newer roster.
+    It is reported as ended only once its outcome is on a write quorum: one that is found on fewer disks is
+    written to others first, since these could answer the next client.
     """
 
     def __init__(self, context: EdgeContext, message_id: str, on_outcome: OutcomeCallback) -> None:
@@ -106,7 +123,11 @@
         self._runtime, self._replicator = context.runtime, context.replicator
         self._message_id, self._on_outcome = message_id, on_outcome
         self._answered_disks: set[str] = set()
-        self._outcomes: list[MessageOutcome] = []
+        self._ended_disks: set[str] = set()
+        self._ended: Acknowledgement | None = None  # the outcome of the first disk that had one
+        self._is_open_somewhere = False
+        self._newest_roster = 0  # log index of the newest roster that a storage node has answered by
+        self._is_restoring = False
         self._finished = False
 
     def begin(self, deadline: float) -> None:
@@ -119,20 +140,44 @@
         self._runtime.call_later(min(READ_TIMEOUT_S + READ_SLACK_S, timeout_s), self._timed_out)
 
     def _answered(self, disk: str, reply: Result[OutcomesReply, RequestFailure]) -> None:
-        if self._finished:
-            return
         # An answer in the name of another disk is none: the machine has lost the one that is meant.
-        if isinstance(reply, Ok) and reply.ok_value.disk_id == disk:
-            self._answered_disks.add(disk)
-            outcome = reply.ok_value.outcomes.get(self._message_id)
-            if outcome is not None:
-                self._outcomes.append(outcome)
-        ended = [outcome for outcome in self._outcomes if not outcome.is_open]
-        if ended or self._replicator.covers_all_messages(self._answered_disks):
-            outcome = next(iter(ended or self._outcomes), NOT_FOUND)
-            if outcome == NOT_FOUND:
-                self._log_not_found()
-            self._finish(outcome)
+        if self._finished or not isinstance(reply, Ok) or reply.ok_value.disk_id != disk:
+            return
+        self._answered_disks.add(disk)
+        self._newest_roster = max(self._newest_roster, reply.ok_value.roster_index)
+        self._add_outcome(disk, reply.ok_value)
+        if self._ended is not None:
+            self._finish_if_ended(self._ended)
+        elif self._is_certain():
+            self._finish(OPEN if self._is_open_somewhere else NOT_FOUND)
+
+    def _add_outcome(self, disk: str, reply: OutcomesReply) -> None:
+        outcome = reply.outcomes.get(self._message_id)
+        if outcome is None:
+            return
+        if outcome.is_open:
+            self._is_open_somewhere = True
+            return
+        self._ended_disks.add(disk)
+        if self._ended is None:
+            retain_until = reply.retain_until.get(self._message_id, self._replicator.default_retain_until())
+            self._ended = Acknowledgement(self._message_id, shard_in(self._message_id), outcome, retain_until)
+
+    def _is_certain(self) -> bool:
+        """Whether the disks that have answered know every message that has enough replicas."""
+        return self._newest_roster <= self._replicator.roster_index and self._replicator.covers_all_messages(
+            self._answered_disks
+        )
+
+    def _finish_if_ended(self, ended: Acknowledgement) -> None:
+        """Report the end once enough disks have it; where they do not, have others learn it."""
+        if self._replicator.is_write_quorum(self._ended_disks):
+            self._finish(ended.outcome)
+        elif self._is_certain() and not self._is_restoring:
+            self._is_restoring = True
+            self._context.count("outcomes restored by lookups")
+            on_durable = partial(self._finish, ended.outcome)
+            self._replicator.restore_outcome(ended, self._ended_disks, on_durable, self._answered_disks)
 
     def _log_not_found(self) -> None:
         """Say on whose answers a message counts as never stored: no client may hear that of one that was."""
@@ -154,5 +199,9 @@
             self._finish(None)
 
     def _finish(self, outcome: MessageOutcome | None) -> None:
+        if self._finished:
+            return
         self._finished = True
+        if outcome == NOT_FOUND:
+            self._log_not_found()
         self._on_outcome(outcome)
--- a/amberlug/cluster/storage/content_messages.py
+++ b/amberlug/cluster/storage/content_messages.py
@@ -16,6 +16,7 @@
 
     content: bytes | None
     outcome: MessageOutcome = OPEN
+    disk_id: str = ""  # which disk answers; storage nodes of earlier versions do not say
 
     @property
     def payload(self) -> bytes:
@@ -24,12 +25,14 @@
 
     def to_wire(self) -> Json:
         """Whether it is here, then `end` and `seal` where the message has ended."""
-        return {"found": self.content is not None, **self.outcome.to_fields()}
+        body = {"found": self.content is not None, **self.outcome.to_fields()}
+        return {**body, "disk": self.disk_id} if self.disk_id else body
 
     @classmethod
     def from_wire(cls, body: Json, payload: bytes) -> ContentReply:
         """Read the reply; without its fields the body is not there and the message is open."""
-        return cls(payload if body.get("found") else None, MessageOutcome.from_fields(body))
+        content = payload if body.get("found") else None
+        return cls(content, MessageOutcome.from_fields(body), body.get("disk", ""))
 
 
 @value
--- a/amberlug/cluster/storage/messages.py
+++ b/amberlug/cluster/storage/messages.py
@@ -121,15 +121,20 @@
     """Whether the acknowledgements are durable."""
 
     durable: bool
+    disk_id: str = ""  # where; storage nodes of earlier versions do not say
+
+    def is_durable_on(self, disk: str) -> bool:
+        """Whether they are durable on the disk that is meant, and not on one that has taken its place."""
+        return self.durable and self.disk_id in ("", disk)
 
     def to_wire(self) -> Json:
-        """The one field."""
-        return {"ok": self.durable}
+        """`ok`, and the disk where they are durable."""
+        return {"ok": self.durable, **({"disk": self.disk_id} if self.durable and self.disk_id else {})}
 
     @classmethod
     def from_wire(cls, body: Json, payload: bytes) -> AcknowledgeReply:
-        """Read the reply; without the field they are not durable."""
-        return cls(bool(body.get("ok")))
+        """Read the reply; without `ok` they are not durable."""
+        return cls(bool(body.get("ok")), body.get("disk", ""))
 
 
 @value
@@ -243,17 +248,70 @@
         return cls({int(shard): epoch for shard, epoch in body["shards"].items()})
 
 
+@value
+class EndedMessagesReply(Body):
+    """One page of durable outcomes, in the order of shards and message ids."""
+
+    acknowledgements: tuple[Acknowledgement, ...]
+    disk_id: str
+    has_more: bool
+
+    def to_wire(self) -> Json:
+        """A row each, and whether others follow."""
+        rows = [acknowledgement.to_wire() for acknowledgement in self.acknowledgements]
+        return {"ended": rows, "disk": self.disk_id, "more": self.has_more}
+
+    @classmethod
+    def from_wire(cls, body: Json, payload: bytes) -> EndedMessagesReply:
+        """Read the reply.
+
+        :raises KeyError: where a field is missing.
+        """
+        rows = tuple(Acknowledgement.from_wire(row) for row in body["ended"])
+        return cls(rows, body["disk"], body["more"])
+
+
+@value
+class EndedMessagesRequest(Request[EndedMessagesReply]):
+    """A shard's owner reads how messages of its shards ended, as far as this disk knows."""
+
+    wire_tag: ClassVar[str] = "ended"
+    reply_type: ClassVar[type[EndedMessagesReply]] = EndedMessagesReply
+    shards: tuple[int, ...]
+    after: tuple[int, str] = (-1, "")  # shard and message id of the last row of the page before
+
+    def to_wire(self) -> Json:
+        """The shards, and where the page begins."""
+        return {"shards": list(self.shards), "after": list(self.after)}
+
+    @classmethod
+    def from_wire(cls, body: Json, payload: bytes) -> EndedMessagesRequest:
+        """Read the request.
+
+        :raises KeyError: where a field is missing.
+        """
+        shard, message_id = body["after"]
+        return cls(tuple(body["shards"]), (shard, message_id))
+
+
 @value
 class OutcomesReply(Body):
     """What is known of messages; those that are not here are unknown to this disk."""
 
     outcomes: dict[str, MessageOutcome]
     disk_id: str
+    retain_until: dict[str, float] = field(default_factory=dict)  # by message that has ended: wall-clock s
+    roster_index: int = 0  # the newest roster that this disk knows; 0 from an earlier version
 
     def to_wire(self) -> Json:
-        """By message: its status and its receipt."""
+        """By message: its status and its receipt; `until` and `roster` only where they say something."""
         pairs = {message_id: outcome.to_pair() for message_id, outcome in self.outcomes.items()}
-        return {"found": pairs, "disk": self.disk_id}
+        body: Json = {"found": pairs, "disk": self.disk_id}
+        if self.retain_until:
+            body["until"] = self.retain_until
+        if self.roster_index:
+            body["roster"] = self.roster_index
+        return body
 
     @classmethod
     def from_wire(cls, body: Json, payload: bytes) -> OutcomesReply:
@@ -265,7 +323,7 @@
             message_id: MessageOutcome(status, receipt)
             for message_id, (status, receipt) in body["found"].items()
         }
-        return cls(outcomes, body.get("disk", ""))
+        return cls(outcomes, body.get("disk", ""), body.get("until", {}), body.get("roster", 0))
 
 
 @value
--- a/amberlug/cluster/storage/records.py
+++ b/amberlug/cluster/storage/records.py
@@ -26,6 +26,17 @@
     outcome: MessageOutcome = OPEN
     retain_until: float = 0.0  # wall-clock seconds: the outcome of an ended message is known until then
     is_durable: bool = True  # False while its row is being written
+    is_outcome_durable: bool = True  # False until the row of its outcome is synced
+
+    @property
+    def has_replica(self) -> bool:
+        """Whether the message itself came here, not only its outcome: epochs begin at 1."""
+        return self.accepted_epoch > 0
+
+    @property
+    def durable_outcome(self) -> MessageOutcome:
+        """The outcome as it would be after a restart: what others may be told."""
+        return self.outcome if self.is_outcome_durable else OPEN
 
 
 @dataclass(slots=True)
--- a/amberlug/cluster/storage/replica_service.py
+++ b/amberlug/cluster/storage/replica_service.py
@@ -6,7 +6,8 @@
 - Once a fence is confirmed, replicas from owners with a smaller epoch are rejected, and the reply to the
   fence lists every open replica that was confirmed before. So a new owner that has fenced enough storage
   nodes knows every open message that its predecessors have confirmed.
-- An outcome is a fact: no fence stands against it, and the first one stays.
+- An outcome is a fact: no fence stands against it, and the first one stays. It is acknowledged and told to
+  others only once its row is synced.
 """
 
 from __future__ import annotations
@@ -20,8 +21,11 @@
 from amberlug.cluster.rpc.messages import Responder, handles
 from amberlug.cluster.storage.content_messages import ContentReply, ContentRequest
 from amberlug.cluster.storage.messages import (
+    Acknowledgement,
     AcknowledgeReply,
     AcknowledgeRequest,
+    EndedMessagesReply,
+    EndedMessagesRequest,
     FenceReply,
     FenceRequest,
     OpenMessage,
@@ -47,6 +51,8 @@
 EXPIRY_INTERVAL_S = 2.0  # between searches for outcomes that nobody needs any more
 # Of bodies in the reply to a fence: larger frames delay what comes after them on the connection.
 INCLUDED_CONTENT_BYTES = 1 << 20
+ENDED_MESSAGES_PER_PAGE = 1024  # some 100 KiB
+RETAIN_UNTIL_DIGITS = 3  # of wall-clock seconds in frames
 
 
 def ignore_failure(failure: WriteFailure | None) -> None:
@@ -158,21 +164,36 @@
     @handles(AcknowledgeRequest)
     def on_acknowledge(self, request: AcknowledgeRequest, origin: str, respond: Responder) -> None:
         """Store how messages ended; an empty request is a probe and waits for the disk as well."""
-        messages = self.contents.messages
+        written: list[StoredMessage] = []
         rows: list[StorageRow] = []
         for ended in request.acknowledgements:
-            stored = messages.get(ended.message_id)
-            if stored is None:
-                messages[ended.message_id] = StoredMessage(
-                    ended.shard, 0, 0, {}, 0, ended.outcome, ended.retain_until
-                )
-            elif not stored.outcome.is_open:
-                continue  # the first outcome stays
-            else:
-                stored.outcome, stored.retain_until = ended.outcome, ended.retain_until
-            rows.append(OutcomeRow(ended.message_id, ended.shard, ended.outcome, ended.retain_until))
+            stored = self._record_outcome(ended)
+            if not stored.is_outcome_durable:
+                written.append(stored)
+                rows.append(OutcomeRow(ended.message_id, ended.shard, stored.outcome, stored.retain_until))
         self._count("outcomes stored", len(rows))
-        self._store.write(rows, lambda failure: respond(AcknowledgeReply(failure is None)))
+        self._store.write(rows, partial(self._on_outcomes_written, written, respond))
+
+    def _record_outcome(self, ended: Acknowledgement) -> StoredMessage:
+        """Note in memory how a message ended; the first outcome stays."""
+        stored = self.contents.messages.get(ended.message_id)
+        if stored is None:
+            stored = self.contents.messages[ended.message_id] = StoredMessage(ended.shard, 0, 0, {}, 0)
+        if stored.outcome.is_open:
+            stored.outcome, stored.retain_until = ended.outcome, ended.retain_until
+            stored.is_outcome_durable = False
+        return stored
+
+    def _on_outcomes_written(
+        self, written: list[StoredMessage], respond: Responder, failure: WriteFailure | None
+    ) -> None:
+        """Tell outcomes from now on, once they are synced; those that are not are written at the next try."""
+        if failure is None:
+            for stored in written:
+                stored.is_outcome_durable = True
+        else:
+            self._count("outcomes rejected by the disk", len(written))
+        respond(AcknowledgeReply(failure is None, self.contents.disk_id))
 
     # -- fencing
 
@@ -191,7 +212,7 @@
         candidates = {
             message_id: message
             for message_id, message in self.contents.messages.items()
-            if message.outcome.is_open and message.shard in fenced
+            if message.shard in fenced and message.has_replica and message.durable_outcome.is_open
         }
         self._count("fencing tokens raised", len(fenced))
         pending = _PendingFence(rejected, candidates, respond)
@@ -219,8 +240,9 @@
                 contents.get(message_id),
             )
             for message_id, message in pending.candidates.items()
-            # A replica that was being written when the fence came may have failed since.
-            if message_id in self.contents.messages
+            # A replica that was being written when the fence came may have failed since, or its outcome may
+            # have become durable: a new owner that read it as open would run it again.
+            if message_id in self.contents.messages and message.durable_outcome.is_open
         )
         pending.respond(FenceReply(True, self.contents.disk_id, pending.rejected, open_messages))
 
@@ -229,25 +251,57 @@
     @handles(OutcomesRequest)
     def on_outcomes(self, request: OutcomesRequest, origin: str, respond: Responder) -> None:
         """Reply with the outcomes of those messages that are known here."""
-        messages = self.contents.messages
-        outcomes = {
-            message_id: messages[message_id].outcome
+        known = {
+            message_id: stored
             for message_id in request.message_ids
-            if message_id in messages
+            if (stored := self.contents.messages.get(message_id)) is not None
+            and (stored.has_replica or stored.is_outcome_durable)
         }
-        respond(OutcomesReply(outcomes, self.contents.disk_id))
+        outcomes = {message_id: stored.durable_outcome for message_id, stored in known.items()}
+        retain_until = {
+            message_id: round(known[message_id].retain_until, RETAIN_UNTIL_DIGITS)
+            for message_id, outcome in outcomes.items()
+            if not outcome.is_open
+        }
+        contents = self.contents
+        respond(OutcomesReply(outcomes, contents.disk_id, retain_until, contents.enrolled_index))
+
+    @handles(EndedMessagesRequest)
+    def on_ended_messages(self, request: EndedMessagesRequest, origin: str, respond: Responder) -> None:
+        """Reply with the next page of outcomes that are durable here."""
+        shards = frozenset(request.shards)
+        messages = self.contents.messages
+        following = sorted(
+            (message.shard, message_id)
+            for message_id, message in messages.items()
+            if message.shard in shards
+            and not message.durable_outcome.is_open
+            and (message.shard, message_id) > request.after
+        )
+        page = tuple(
+            Acknowledgement(
+                message_id,
+                shard,
+                messages[message_id].outcome,
+                round(messages[message_id].retain_until, RETAIN_UNTIL_DIGITS),
+            )
+            for shard, message_id in following[:ENDED_MESSAGES_PER_PAGE]
+        )
+        respond(EndedMessagesReply(page, self.contents.disk_id, len(following) > len(page)))
 
     @handles(ContentRequest)
     def on_content(self, request: ContentRequest, origin: str, respond: Responder) -> None:
         """Read the body of a message that is open or dead; of others only the outcome is known."""
         message = self.contents.messages.get(request.message_id)
-        outcome = message.outcome if message is not None else OPEN
+        outcome = message.durable_outcome if message is not None else OPEN
         if message is None or outcome.status not in (OPEN.status, DEAD_OUTCOME):
-            respond(ContentReply(None, outcome))
+            respond(ContentReply(None, outcome, self.contents.disk_id))
             return
         self._store.read(
             [request.message_id],
-            lambda contents: respond(ContentReply(contents.get(request.message_id), outcome)),
+            lambda contents: respond(
+                ContentReply(contents.get(request.message_id), outcome, self.contents.disk_id)
+            ),
         )
 
     # -- deletion
--- a/tests/cluster/test_shard_owner.py
+++ b/tests/cluster/test_shard_owner.py
@@ -42,7 +42,11 @@
         self.replicator.update_roster(StorageRoster.from_wire(0, self.roster))
         self.admitted: list[Message] = []
         callbacks = DeliveryCallbacks(
-            self.admitted.append, lambda shard: [], lambda ended: None, lambda message_id: False
+            self.admitted.append,
+            lambda shard: [],
+            lambda ended: None,
+            lambda message_id: False,
+            lambda message_id: True,
         )
         self.shard_owner = ShardOwner(self.runtime, self.replicator, "me", callbacks)
         self.shard_owner.update_table(table_of_one_shard(epoch=7))
--- a/tests/cluster/test_storage_node.py
+++ b/tests/cluster/test_storage_node.py
@@ -67,7 +67,7 @@
     rig.acknowledge("done")
     assert [row for row in rig.disk.newest_rows if isinstance(row, OutcomeRow)], "it is written again"
     rig.disk.finish_write(None)
-    assert rig.replies[-1] == {"ok": True}
+    assert rig.replies[-1] == {"ok": True, "disk": "d"}
     rig.request("find", {"ids": ["1-a"]})
     assert rig.replies[-1]["found"] == {"1-a": ["done", ""]}
 
@@ -137,8 +137,8 @@
         rig.disk.finish_write(None)
     rig.put(1)
     assert rig.replies == [
-        {"ok": True},
-        {"ok": True},
+        {"ok": True, "disk": "d"},
+        {"ok": True, "disk": "d"},
         {"ok": True, "disk": "d", "end": "done", "seal": ""},
     ]
     assert rig.open_messages() == []
