--- a/amberlug/cluster/simulation/clients.py
+++ b/amberlug/cluster/simulation/clients.py
@@ -16,6 +16,7 @@
 TRIES = 3
 POLL_S = 1.0
 ASKED_S = 2.0
+STATUS_PATH, BODY_PATH = "/-/message/", "/-/message-body/"
 HOST = "shop.example"
 
 
@@ -157,11 +158,11 @@
 
     def ask(self, name: str, then: Callable[[Standing], None]) -> None:
         """Ask any edge how a message stands."""
-        self._question(name, "/-/message/", then)
+        self._question(name, STATUS_PATH, then)
 
     def ask_body(self, name: str, then: Callable[[Standing], None]) -> None:
         """Ask any edge for a message's bytes."""
-        self._question(name, "/-/message-body/", then)
+        self._question(name, BODY_PATH, then)
 
     def _question(self, name: str, path: str, then: Callable[[Standing], None]) -> None:
         asked = self.clock.now
@@ -177,6 +178,7 @@
                 said.get("condition", ""),
                 said.get("seal", ""),
                 blob if status == 200 and body is None else None,
+                path == BODY_PATH,
             )
             if status not in (REFUSED, CLOSED):
                 self.history.standings.append(standing)
--- a/amberlug/cluster/simulation/history.py
+++ b/amberlug/cluster/simulation/history.py
@@ -129,6 +129,12 @@
     condition: str
     seal: str
     body: bytes | None = None
+    is_of_body: bool = False
+
+    @property
+    def says_ended(self) -> bool:
+        """Whether the message is said to have ended."""
+        return self.condition in ("completed", "failed")
 
 
 @dataclass(frozen=True, slots=True)
--- a/amberlug/cluster/simulation/invariants.py
+++ b/amberlug/cluster/simulation/invariants.py
@@ -76,6 +76,7 @@
         self._order()
         self._twice()
         self._standings()
+        self._known()
         self._lost()
         self._config_answers()
         self._config_runs()
@@ -167,6 +168,26 @@
             if it.body is not None and it.body != sent.body:
                 self._say("MIXED", f"{it.name} comes back with other bytes")
 
+    def _known(self) -> None:
+        """What was accepted is never answered as unknown, nor one that was told to have ended as open.
+
+        It holds for all machines, in touch or not: whoever can't be sure answers 503.
+        """
+        by_name = {it.name: it for it in self.history.sent.values() if it.name}
+        told_ended: dict[str, float] = {}  # by message, when a client first heard so
+        for it in sorted(self.history.standings, key=lambda standing: standing.told):
+            if it.says_ended:
+                told_ended.setdefault(it.name, it.told)
+        for it in self.history.standings:
+            sent = by_name[it.name]
+            if it.status in (404, 410) and it.asked > sent.answered_at and not it.is_of_body:
+                self._say("LOST", f"{it.name}, accepted {sent.answered_at:.3f}, is unknown at {it.told:.3f}")
+            elif it.status in (404, 410) and it.is_of_body and self.ended[sent.attempt] > it.told:
+                self._say("LOST", f"{it.name} is open, and has no body at {it.told:.3f}")
+            elif it.condition == "pending" and told_ended.get(it.name, it.told) < it.asked:
+                ended_at = told_ended[it.name]
+                self._say("LOST", f"{it.name}, called ended at {ended_at:.3f}, is pending at {it.told:.3f}")
+
     def _lost(self) -> None:
         over = self.history.over_at
         said = defaultdict(list)
