Check answers against earlier ones on each edge node, and plant six faults in outcomes

Change: an edge node remembers what it has told clients (accepted, ended) and never contradicts it: such an answer is counted as 'invariant violated: ...', logged, and replaced by 503. The simulation takes such a count for a broken rule.

--- /dev/null
+++ b/amberlug/cluster/edge/answer_history.py
@@ -0,0 +1,74 @@
+"""What this node has told clients of messages: later answers must not contradict it. No I/O.
+
+Invariants, as clients see them at one node:
+
+- A message that was accepted with 202 is known until its outcome may be forgotten.
+- A message that was told to have ended is never told to be pending again.
+
+An answer that would break one is counted, logged, and replaced by "it can't be known now". Any of these
+counters above 0 is a fault of the system, whatever else it may look like: keep the logs of all nodes.
+"""
+
+from __future__ import annotations
+
+from absl import logging
+
+from amberlug.cluster.edge.context import EdgeContext
+from amberlug.cluster.edge.outcomes import NOT_FOUND
+from amberlug.cluster.storage.outcomes import MessageOutcome
+
+VIOLATION_PREFIX = "invariant violated: "  # of the names of counters
+ACCEPTED_IS_KNOWN = VIOLATION_PREFIX + "accepted message unknown"
+ENDED_STAYS_ENDED = VIOLATION_PREFIX + "ended message open"
+MAX_REMEMBERED = 20_000  # messages of each kind; the oldest are forgotten
+# Of the time for which an outcome is known: the clocks of nodes differ, and messages are deleted in sweeps.
+REMEMBERED_SHARE = 0.9
+
+
+class AnswerHistory:
+    """The newest answers of one edge node, by message; times are those of the monotonic clock."""
+
+    def __init__(self, context: EdgeContext) -> None:
+        self._context = context
+        self._accepted_at: dict[str, float] = {}
+        self._reported_ended_at: dict[str, float] = {}
+
+    def accepted(self, message_id: str) -> None:
+        """Note that a client was told that a message is accepted."""
+        self._remember(self._accepted_at, message_id)
+
+    def checked(self, message_id: str, outcome: MessageOutcome | None) -> MessageOutcome | None:
+        """The answer to a look-up, or None where it contradicts an earlier one.
+
+        :param outcome: what the answer would be; None where it can't be known.
+        """
+        if outcome is None:
+            return None
+        violated = self._violated_by(message_id, outcome)
+        if violated:
+            self._context.count(violated)
+            logging.error("%s: %s", violated, message_id)
+            return None
+        if not outcome.is_open and outcome != NOT_FOUND:
+            self._remember(self._reported_ended_at, message_id)
+        return outcome
+
+    def _violated_by(self, message_id: str, outcome: MessageOutcome) -> str:
+        """The invariant that an answer would break; empty where there is none."""
+        if outcome == NOT_FOUND and self._was_accepted(message_id):
+            return ACCEPTED_IS_KNOWN
+        if outcome.is_open and message_id in self._reported_ended_at:
+            return ENDED_STAYS_ENDED
+        return ""
+
+    def _was_accepted(self, message_id: str) -> bool:
+        accepted_at = self._accepted_at.get(message_id)
+        if accepted_at is None:
+            return False
+        age_s = self._context.runtime.now() - accepted_at
+        return age_s < REMEMBERED_SHARE * self._context.settings.seconds("statusTtlS")
+
+    def _remember(self, times: dict[str, float], message_id: str) -> None:
+        times.setdefault(message_id, self._context.runtime.now())
+        if len(times) > MAX_REMEMBERED:
+            del times[next(iter(times))]
--- a/amberlug/cluster/edge/intake.py
+++ b/amberlug/cluster/edge/intake.py
@@ -10,6 +10,7 @@
 from amberlug.cluster.control.shard_assignment import SHARDS
 from amberlug.cluster.dispatch.message import Message, name_of, shard_of
 from amberlug.cluster.dispatch.messages import AdmissionOutcome
+from amberlug.cluster.edge.answer_history import AnswerHistory
 from amberlug.cluster.edge.context import EdgeContext
 from amberlug.cluster.edge.delivery import MessageDelivery
 from amberlug.cluster.edge.forwarding import Forwarder
@@ -107,9 +108,15 @@
     """Answers the requests that come to an edge node's front."""
 
     def __init__(
-        self, context: EdgeContext, delivery: MessageDelivery, forwarder: Forwarder, api: AdminApi
+        self,
+        context: EdgeContext,
+        delivery: MessageDelivery,
+        forwarder: Forwarder,
+        api: AdminApi,
+        history: AnswerHistory,
     ) -> None:
         self._context, self._delivery, self._forwarder, self._api = context, delivery, forwarder, api
+        self._history = history
 
     def handle(self, request: ClientRequest, respond: RespondToClient) -> None:
         """Answer a request: a declared call under `/-/`, or a submission to a configured route."""
@@ -196,6 +203,7 @@
     ) -> None:
         if outcome is AdmissionOutcome.ACCEPTED:
             self._context.count("accepted")
+            self._history.accepted(message_id)
             respond(ClientResponse(202, headers=(("Amberlug-Message-Name", message_id),)))
         elif outcome is AdmissionOutcome.OUTCOME_UNKNOWN:
             self._context.count("outcome unknown")
--- a/amberlug/cluster/edge/lookup.py
+++ b/amberlug/cluster/edge/lookup.py
@@ -6,6 +6,7 @@
 
 from amberlug.cluster.dispatch.message import shard_in
 from amberlug.cluster.dispatch.messages import StandingReply, StandingRequest
+from amberlug.cluster.edge.answer_history import AnswerHistory
 from amberlug.cluster.edge.context import EdgeContext
 from amberlug.cluster.edge.delivery import MessageDelivery
 from amberlug.cluster.edge.outcomes import NOT_FOUND
@@ -22,13 +23,20 @@
 class MessageLookup:
     """Finds the status of a message: in memory, at the owner of its shard, else at the storage nodes."""
 
-    def __init__(self, context: EdgeContext, delivery: MessageDelivery, reader: StorageReader) -> None:
+    def __init__(
+        self, context: EdgeContext, delivery: MessageDelivery, reader: StorageReader, history: AnswerHistory
+    ) -> None:
         self._context, self._delivery, self._reader = context, delivery, reader
+        self._history = history
 
     @api_call("GET", "/-/message/")
     def message(self, request: HttpRequest, name: str, respond: RespondHttp) -> None:
         """Respond with the status of a message."""
-        self.find_outcome(name, lambda outcome: respond(_outcome_response(outcome)))
+
+        def answer(outcome: MessageOutcome | None) -> None:
+            respond(_outcome_response(self._history.checked(name, outcome)))
+
+        self.find_outcome(name, answer)
 
     @api_call("GET", "/-/message-body/")
     def message_body(self, request: HttpRequest, name: str, respond: RespondHttp) -> None:
--- a/amberlug/cluster/edge/node.py
+++ b/amberlug/cluster/edge/node.py
@@ -24,6 +24,7 @@
 from amberlug.cluster.dispatch.dispatcher import Dispatcher
 from amberlug.cluster.dispatch.replicator import Replicator
 from amberlug.cluster.dispatch.shard_owner import ShardOwner
+from amberlug.cluster.edge.answer_history import AnswerHistory
 from amberlug.cluster.edge.context import EdgeContext
 from amberlug.cluster.edge.delivery import MessageDelivery
 from amberlug.cluster.edge.forwarding import Forwarder
@@ -57,8 +58,9 @@
         self.delivery = MessageDelivery(self._context, endpoints, reader)
         self.forwarder = Forwarder(self._context, self.shard_owner)
         self.repair = ReplicaRepair(self._context, self.delivery, reader)
-        self.lookup = MessageLookup(self._context, self.delivery, reader)
-        self._intake = Intake(self._context, self.delivery, self.forwarder, AdminApi(self.lookup))
+        history = AnswerHistory(self._context)
+        self.lookup = MessageLookup(self._context, self.delivery, reader, history)
+        self._intake = Intake(self._context, self.delivery, self.forwarder, AdminApi(self.lookup), history)
         self.handlers = {
             tag: handler
             for part in (self.lookup, self.forwarder, self.gossip, self.shard_owner, EdgeStatus(self))
--- a/amberlug/cluster/simulation/machine.py
+++ b/amberlug/cluster/simulation/machine.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from amberlug.cluster.control.node import ControlNode, blank
+from amberlug.cluster.edge.answer_history import VIOLATION_PREFIX
 from amberlug.cluster.edge.node import EdgeNode
 from amberlug.cluster.interfaces import Endpoints, RequestFailure
 from amberlug.cluster.process import GRACE_MARGIN_S, STILL_ROUTED_S
@@ -21,7 +22,7 @@
     ProcessMessageDisk,
     SimulatedDisk,
 )
-from amberlug.cluster.simulation.history import History, Place, What
+from amberlug.cluster.simulation.history import Broken, History, Place, What
 from amberlug.cluster.simulation.network import Host, Incarnation, Network, SimulatedRuntime
 from amberlug.cluster.storage.node import StorageNode
 
@@ -139,6 +140,7 @@
         life = self.life
         assert life is not None, "nothing runs here"
         self.deployment.history.mark(self.name, What.END)
+        self.note_violations()
         life.over = True
         disk()
         for link in list(life.links.values()):
@@ -156,6 +158,7 @@
         if life is None or life.over:
             return
         self.deployment.history.mark(self.name, What.END)
+        self.note_violations()
         life.over = True
         if self.disk is not None:
             self.disk.lose()
@@ -164,6 +167,12 @@
         for link in life.incoming:
             link.silence(1)
 
+    def note_violations(self) -> None:
+        """Count as broken what the process that runs here has found broken itself."""
+        for name, count in self.part.counters.items() if self.up else ():
+            if name.startswith(VIOLATION_PREFIX):
+                self.deployment.history.faults.append(Broken("INVARIANT", f"{self.name}: {name}, {count}"))
+
     def freeze(self) -> None:
         if self.up and self.life is not None:
             self.deployment.history.mark(self.name, What.FREEZE)
--- a/amberlug/cluster/simulation/mutations.py
+++ b/amberlug/cluster/simulation/mutations.py
@@ -39,6 +39,7 @@
     mutations_answers,
     mutations_frames,
     mutations_losses,
+    mutations_outcomes,
     mutations_partitions,
     mutations_voters,
 )
@@ -238,6 +239,7 @@
     **mutations_partitions.FAULTS,
     **mutations_losses.FAULTS,
     **mutations_answers.FAULTS,
+    **mutations_outcomes.FAULTS,
 }
 
 
--- /dev/null
+++ b/amberlug/cluster/simulation/mutations_outcomes.py
@@ -0,0 +1,68 @@
+"""Faults in what keeps the outcomes of messages, and in what look-ups may answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Set
+from contextlib import AbstractContextManager
+from typing import Any
+from unittest.mock import patch
+
+from amberlug.cluster.dispatch.outcome_delivery import OutcomeDelivery
+from amberlug.cluster.dispatch.outcome_repair import OutcomeRepairs
+from amberlug.cluster.dispatch.replicator import Replicator
+from amberlug.cluster.edge.delivery import MessageDelivery
+from amberlug.cluster.edge.storage_reads import _OutcomeQuery
+from amberlug.cluster.storage.messages import Acknowledgement
+from amberlug.cluster.storage.records import StoredMessage
+
+
+def _outcomes_unrepaired() -> AbstractContextManager[Any]:
+    """Disks are dropped while outcomes are left on too few others."""
+
+    def repair_nothing(self: OutcomeRepairs, shards: Iterable[int]) -> None:
+        pass
+
+    return patch.object(OutcomeRepairs, "repair", repair_nothing)
+
+
+def _any_answer() -> AbstractContextManager[Any]:
+    """The first storage node that answers a look-up speaks for all."""
+
+    def covers_all_messages(self: Replicator, disks: Set[str]) -> bool:
+        return bool(disks)
+
+    return patch.object(Replicator, "covers_all_messages", covers_all_messages)
+
+
+def _single_end() -> AbstractContextManager[Any]:
+    """A look-up tells an end that one disk alone knows."""
+
+    def finish(self: _OutcomeQuery, ended: Acknowledgement) -> None:
+        self._finish(ended.outcome)
+
+    return patch.object(_OutcomeQuery, "_finish_if_ended", finish)
+
+
+def _end_from_memory() -> AbstractContextManager[Any]:
+    """An owner tells an end before any storage node has learned it."""
+    return patch.object(OutcomeDelivery, "is_unconfirmed", lambda self, message_id: False)
+
+
+def _unsynced_outcome() -> AbstractContextManager[Any]:
+    """A storage node tells outcomes, and takes them for written, before they are synced."""
+    return patch.object(StoredMessage, "durable_outcome", property(lambda self: self.outcome))
+
+
+def _recovered_counts() -> AbstractContextManager[Any]:
+    """A message that was recovered from one disk is acknowledged as if it were on enough."""
+    return patch.object(MessageDelivery, "_is_safe", lambda self, message_id: True)
+
+
+FAULTS: Mapping[str, tuple[Callable[[], AbstractContextManager[Any]], str]] = {
+    "outcomes-unrepaired": (_outcomes_unrepaired, "storage"),
+    "any-answer": (_any_answer, "storage"),
+    "single-end": (_single_end, "closing"),
+    "end-from-memory": (_end_from_memory, "closing"),
+    "unsynced-outcome": (_unsynced_outcome, "closing"),
+    "recovered-counts": (_recovered_counts, "closing"),
+}
--- a/amberlug/cluster/simulation/scenarios.py
+++ b/amberlug/cluster/simulation/scenarios.py
@@ -151,6 +151,8 @@
         self.clients.ask_all(8)
         self.operator.read_back(10)
         self.clock.run(over + AFTER_S + QUESTIONS_S)
+        for machine in self.deployment.machines:
+            machine.note_violations()
         return Checker(self.history, MAX_ATTEMPTS).check()
 
     # -- what is done
--- a/tests/cluster/test_ended_messages.py
+++ b/tests/cluster/test_ended_messages.py
@@ -7,6 +7,7 @@
 
 from amberlug.cluster.simulation.history import Standing
 from amberlug.cluster.simulation.machine import Machine
+from amberlug.cluster.simulation.mutations import mutated
 from amberlug.cluster.simulation.scenarios import TRAFFIC_S, Day
 
 pytestmark = pytest.mark.usefixtures("suppressed_logs")
@@ -99,3 +100,11 @@
     is_gone(ended)
     for silent in ended.deployment.stores:
         assert ended.not_ended_without(silent) == []
+
+
+def test_a_mutation_that_repairs_no_outcomes_is_detected() -> None:
+    with mutated("outcomes-unrepaired"):
+        ended = EndedMessages(2)
+        lose_disk(ended)
+        # Look-ups repair what they find: one that alone has outcomes is silent first.
+        assert any(ended.not_ended_without(silent) for silent in reversed(ended.deployment.stores))
--- a/tests/cluster/test_storage_node.py
+++ b/tests/cluster/test_storage_node.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable, Sequence
 
+import pytest
+
 from amberlug.cluster.interfaces import Json, OnWritten, WriteFailure, WriteFailureReason
 from amberlug.cluster.simulation.clock import Clock
+from amberlug.cluster.simulation.mutations import mutated
 from amberlug.cluster.storage.node import StorageNode
 from amberlug.cluster.storage.records import OutcomeRow, StorageRow, StoredContents
 from tests.cluster.fakes import Alone, settings
@@ -55,6 +58,11 @@
         return [row[0] for row in self.replies[-1]["open"]]
 
 
+def test_a_mutation_that_reports_an_outcome_before_it_is_on_disk_is_detected() -> None:
+    with mutated("unsynced-outcome"), pytest.raises(AssertionError, match="its row is not synced yet"):
+        test_an_outcome_is_reported_and_acknowledged_only_once_it_is_on_disk()
+
+
 def test_an_outcome_is_reported_and_acknowledged_only_once_it_is_on_disk() -> None:
     rig = Rig()
     rig.put(1)
