Soak real processes under kills, pauses, cuts, lost replies and lost disks that overlap

Change: 'python -m amberlug.cluster soak': three lines of random faults at once, one disk lost meanwhile, then all killed and another disk lost, then each storage node silent in turn while all messages are looked up.

--- a/amberlug/cluster/cli.py
+++ b/amberlug/cluster/cli.py
@@ -14,6 +14,7 @@
 
     COMMANDS_ELSEWHERE: ClassVar = {
         "admin": "amberlug.cluster.admin.commands:admin",
+        "soak": "amberlug.cluster.local_deployment.commands:soak",
         "stand-in": "amberlug.cluster.local_deployment.commands:stand_in",
         "try": "amberlug.cluster.local_deployment.commands:trial",
     }
--- a/amberlug/cluster/local_deployment/commands.py
+++ b/amberlug/cluster/local_deployment/commands.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -14,11 +15,13 @@
 
 import click
 
-from amberlug.cluster.local_deployment.deployment import Deployment, free_net
+from amberlug.cluster.local_deployment.deployment import FAULTY_PROGRAM, Deployment, free_net
 from amberlug.cluster.local_deployment.fake_endpoint import EndpointSettings, FakeEndpoint
+from amberlug.cluster.local_deployment.soak import Soak
 from amberlug.cluster.local_deployment.trial import Trial, TrialLoad
 from amberlug.cluster.local_deployment.trial_report import TrialReport
 
+MAX_PRINTED_FAILURES = 20  # of one seed
 EX_INTERRUPTED = 130  # exit code, as shells have it of a command that Ctrl-C ended
 
 ResultT = TypeVar("ResultT")
@@ -98,6 +101,49 @@
     sys.exit(_run_in_folder(keep, run))
 
 
+# -- soak
+
+
+@click.command("soak")
+@click.option("--first", default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", type=click.IntRange(1), default=1, show_default=True, help="How many are played.")
+@click.option("--seconds", type=click.FloatRange(1, 600), default=8.0, show_default=True, help="Of load.")
+@click.option(
+    "--rate", type=click.FloatRange(1, 200), default=30.0, show_default=True, help="Messages a second."
+)
+@click.option(
+    "--keep", type=click.Path(file_okay=False, path_type=Path), help="A folder for what failing seeds leave."
+)
+def soak(first: int, seeds: int, seconds: float, rate: float, keep: Path | None) -> None:
+    """Play a small deployment under random faults that overlap, once for each seed.
+
+    Exit code 0 only where nothing was lost, forgotten or taken back under any of the seeds; else 1.
+    """
+    bad = 0
+    for seed in range(first, first + seeds):
+        report = asyncio.run(_until_interrupted(_play_soak(seed, TrialLoad(rate, seconds), keep)))
+        failures = report.all_failures()
+        bad += bool(failures)
+        click.echo(
+            f"seed {seed}: {len(report.accepted())} accepted of {len(report.sent)}, {len(failures)} wrong"
+        )
+        for failure in failures[:MAX_PRINTED_FAILURES]:
+            click.echo(f"WRONG: {failure}")
+    click.echo(f"{bad} of {seeds} seeds failed")
+    sys.exit(bool(bad))
+
+
+async def _play_soak(seed: int, load: TrialLoad, keep: Path | None) -> TrialReport:
+    """Play one seed; its folder is kept only where something was wrong."""
+    with tempfile.TemporaryDirectory(prefix="amberlug-soak-") as name:
+        folder, rng = Path(name), random.Random(seed)
+        deployment = Deployment(folder, free_net(random.Random()), FAULTY_PROGRAM)
+        report = await Soak(deployment, load, rng, lambda text: click.echo(text, err=True)).run()
+        if keep is not None and report.all_failures():
+            shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
+    return report
+
+
 def _run_in_folder(kept_folder: Path | None, run: Callable[[Path], int]) -> int:
     try:
         if kept_folder is None:
--- a/amberlug/cluster/local_deployment/deployment.py
+++ b/amberlug/cluster/local_deployment/deployment.py
@@ -6,11 +6,12 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
 import sys
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -33,6 +34,9 @@
 POLL_INTERVAL_S = 0.05
 SERVICES = {"weigh": False, "clear": True}  # whether messages of one sequence key keep their order
 HOST = "try.example"
+FAULTS_FILE_VARIABLE = "AMBERLUG_NETWORK_FAULTS"  # path of the file that `faulty_process` reads
+FAULTY_PROGRAM = ("amberlug.cluster.local_deployment.faulty_process",)
+PROGRAM = ("amberlug.cluster", "run")  # the module that a machine runs, with its arguments
 
 Condition = Callable[[], Awaitable[bool]]
 
@@ -139,10 +143,14 @@
 
 
 class Deployment:
-    """Three machines of each class, in two zones."""
+    """Three machines of each class, in two zones.
 
-    def __init__(self, folder: Path, net: str) -> None:
-        self.folder, self.net = folder, net
+    :param folder: for settings files, logs and the machines' data.
+    :param net: the first three numbers of their addresses.
+    """
+
+    def __init__(self, folder: Path, net: str, program: Sequence[str] = PROGRAM) -> None:
+        self.folder, self.net, self.program = folder, net, program
         self.machines: dict[str, Machine] = {}
         zones = list(ZONES)
         for machine_class in MACHINE_CLASSES:
@@ -157,6 +165,11 @@
         """All machines of a class."""
         return [machine for machine in self.machines.values() if machine.machine_class == machine_class]
 
+    @property
+    def network_faults_path(self) -> Path:
+        """The file by which links between machines that run `faulty_process` are cut."""
+        return self.folder / "network-faults.json"
+
     @property
     def fronts(self) -> list[str]:
         """The client addresses of the edge nodes that run."""
@@ -191,7 +204,7 @@
             "seedNodes": self.controls,
             "firstStart": first_start,
             "counted": not is_edge,
-            "dataDir": None if is_edge else str(self.folder / f"{machine.name}.data"),
+            "dataDir": None if is_edge else str(self._data_folder(machine)),
             "heartbeatMs": 500,
             "faultTolerance": {"machines": 1, "zones": 0, "regions": 0},
             "bounds": {"graceS": GRACE_S},
@@ -205,10 +218,11 @@
         paths = [project_folder, *filter(None, [os.environ.get("PYTHONPATH")])]
         with (self.folder / f"{machine.name}.log").open("ab") as log:
             machine.process = subprocess.Popen(
-                [sys.executable, "-m", "amberlug.cluster", "run"],
+                [sys.executable, "-m", *self.program],
                 env={
                     **os.environ,
                     SETTINGS_FILE_VARIABLE: str(machine.settings_path),
+                    FAULTS_FILE_VARIABLE: str(self.network_faults_path),
                     "PYTHONPATH": os.pathsep.join(paths),
                 },
                 stdin=subprocess.DEVNULL,
@@ -230,6 +244,14 @@
             process.kill()
             process.wait()
 
+    def erase_disk(self, machine: Machine) -> None:
+        """Delete what a machine that does not run has on disk."""
+        assert machine.process is None, "a disk is erased while its machine is down"
+        shutil.rmtree(self._data_folder(machine), ignore_errors=True)
+
+    def _data_folder(self, machine: Machine) -> Path:
+        return self.folder / f"{machine.name}.data"
+
     def kill_all(self) -> None:
         """Kill all processes that still run."""
         for machine in self.machines.values():
--- /dev/null
+++ b/amberlug/cluster/local_deployment/soak.py
@@ -0,0 +1,248 @@
+"""`python -m amberlug.cluster soak`: real processes under random faults that overlap.
+
+While messages are sent, processes are killed and paused, links between machines are cut, replies are lost and
+one storage node loses its disk. Then all is healed, all processes are killed at once, another disk is lost,
+and each storage node in turn stays silent while every message is looked up. Meanwhile no accepted message may
+be unknown to any edge node, none that was told to have ended may be pending, and no node may count or log an
+invariant as violated.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+from collections.abc import Awaitable, Callable, Sequence
+
+from result import Ok
+
+from amberlug.cluster.edge.answer_history import VIOLATION_PREFIX
+from amberlug.cluster.local_deployment.deployment import READY_TIMEOUT_S, Deployment, Machine
+from amberlug.cluster.local_deployment.faulty_process import NetworkFaults
+from amberlug.cluster.local_deployment.http_call import HttpCall, send_call
+from amberlug.cluster.local_deployment.trial import (
+    END_TIMEOUT_S,
+    MAX_CONCURRENT_LOOKUPS,
+    ReportProgress,
+    Trial,
+    TrialLoad,
+)
+from amberlug.cluster.local_deployment.trial_report import PENDING, SentMessage
+
+FAULT_LINES = 3  # faults that may be in force at once
+FAULT_S = (0.2, 2.5)  # a fault's duration
+PAUSE_S = (0.1, 1.0)  # from one fault of a line to the next
+LOST_REPLIES = (0.02, 0.2)  # the share of replies that is lost while some are
+LOOKUP_INTERVAL_S = 0.02  # between look-ups while messages are sent
+HEALED_TIMEOUT_S = 20.0  # for all nodes to be back, and the roster to be whole
+UNKNOWN_STATUSES = (404, 410)
+# In the log of a node: what it found wrong itself, and errors that nobody handled.
+BAD_LOG_TEXTS = (VIOLATION_PREFIX, "AssertionError", "Traceback")
+
+
+class Soak(Trial):
+    """One soak of a deployment whose machines run `faulty_process`."""
+
+    def __init__(
+        self, deployment: Deployment, load: TrialLoad, rng: random.Random, report_progress: ReportProgress
+    ) -> None:
+        super().__init__(deployment, load, rng, report_progress)
+        self._faulted: set[str] = set()  # names of machines that a fault is in force on
+        self._reported_ended: set[str] = set()  # names of messages
+        self._faults = NetworkFaults()
+
+    async def _play(self) -> None:
+        self._write_network_faults()
+        await super()._play()
+        if not self.report.failures:
+            await self._lose_all_and_one_disk()
+            await self._look_up_without_each_storage_node()
+        self._check_logs()
+
+    # -- faults while messages are sent
+
+    async def _inject_faults(self) -> None:
+        until = self._time() + self.load.duration_s
+        lines = [self._inject_one_after_another(until) for _ in range(FAULT_LINES)]
+        watch = asyncio.create_task(self._watch_answers())
+        await asyncio.gather(self._lose_a_disk(), *lines)
+        watch.cancel()
+        await self._wait_until_healed()
+
+    async def _inject_one_after_another(self, until: float) -> None:
+        faults: list[Callable[[], Awaitable[None]]] = [self._kill, self._pause, self._cut, self._lose_replies]
+        while self._time() < until:
+            await self.rng.choice(faults)()
+            await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+
+    def _pick(self, machine_class: str = "") -> Machine | None:
+        """A machine without a fault, unless it is the last such one of its class."""
+        machines = self.deployment.machines.values()
+        sound = [machine for machine in machines if machine.name not in self._faulted]
+        classes = [machine.machine_class for machine in sound]
+        candidates = [
+            machine
+            for machine in sound
+            if classes.count(machine.machine_class) > 1 and machine.machine_class.startswith(machine_class)
+        ]
+        return self.rng.choice(candidates) if candidates else None
+
+    async def _kill(self) -> None:
+        machine = self._pick()
+        if machine is not None:
+            await self._kill_one(machine, erase=False)
+
+    async def _lose_a_disk(self) -> None:
+        """One storage node loses its disk, whatever else is in force."""
+        await asyncio.sleep(self.rng.uniform(0.2, 0.6) * self.load.duration_s)
+        machine = self._pick("storage")
+        if machine is not None:
+            await self._kill_one(machine, erase=True)
+
+    async def _kill_one(self, machine: Machine, erase: bool) -> None:
+        self._faulted.add(machine.name)
+        self.deployment.kill(machine)
+        if erase:
+            self.report_progress(f"{machine.name} loses its disk")
+            self.deployment.erase_disk(machine)
+        await asyncio.sleep(self.rng.uniform(*FAULT_S))
+        self.deployment.start(machine)
+        self._faulted.discard(machine.name)
+
+    async def _pause(self) -> None:
+        machine = self._pick()
+        if machine is not None:
+            self._faulted.add(machine.name)
+            _signal(machine, signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(*FAULT_S))
+            _signal(machine, signal.SIGCONT)
+            self._faulted.discard(machine.name)
+
+    async def _cut(self) -> None:
+        """Cut some of one machine's links."""
+        machines = list(self.deployment.machines.values())
+        machine = self.rng.choice(machines)
+        others = self.rng.sample(machines, self.rng.randrange(1, len(machines)))
+        pairs = {frozenset((machine.ip, other.ip)) for other in others if other is not machine}
+        self._faults = NetworkFaults(self._faults.cut | pairs, self._faults.lost_replies)
+        self._write_network_faults()
+        await asyncio.sleep(self.rng.uniform(*FAULT_S))
+        self._faults = NetworkFaults(self._faults.cut - pairs, self._faults.lost_replies)
+        self._write_network_faults()
+
+    async def _lose_replies(self) -> None:
+        self._faults = NetworkFaults(self._faults.cut, self.rng.uniform(*LOST_REPLIES))
+        self._write_network_faults()
+        await asyncio.sleep(self.rng.uniform(*FAULT_S))
+        self._faults = NetworkFaults(self._faults.cut)
+        self._write_network_faults()
+
+    def _write_network_faults(self) -> None:
+        self._faults.write(self.deployment.network_faults_path)
+
+    # -- the closing fault
+
+    async def _wait_until_healed(self) -> None:
+        """Wait until all nodes are back, and each storage node has one disk, which counts."""
+        if not await self.deployment.wait_until(self._is_healed, HEALED_TIMEOUT_S):
+            self._fail("not all nodes are back, or a lost disk is on the roster")
+
+    async def _is_healed(self) -> bool:
+        control = self.rng.choice(self.deployment.controls)
+        sent = await send_call(control, HttpCall("GET", "/-/Foreman.Status"))
+        if not isinstance(sent, Ok) or sent.ok_value.status != 200:
+            return False
+        disks = json.loads(sent.ok_value.body)["stores"].values()
+        storage_nodes = self.deployment.of("storage")
+        has_all_disks = len(disks) == len(storage_nodes) and all(disk["state"] == "full" for disk in disks)
+        return has_all_disks and await self._all_rejoined()
+
+    async def _lose_all_and_one_disk(self) -> None:
+        machine = self.rng.choice(self.deployment.of("storage"))
+        self.report_progress(f"all are killed, {machine.name} loses its disk")
+        self.deployment.kill_all()
+        self.deployment.erase_disk(machine)
+        for each in self.deployment.machines.values():
+            self.deployment.start(each)
+        if not await self.deployment.wait_until_ready():
+            self._fail(
+                f"the edge nodes did not become ready in {READY_TIMEOUT_S:g} s after the closing fault"
+            )
+        await self._wait_until_healed()
+        if not await self.deployment.wait_until(self._all_ended, END_TIMEOUT_S):
+            self._fail("not all has ended after the closing fault")
+
+    # -- answers
+
+    async def _watch_answers(self) -> None:
+        """Look up messages all the while, at any edge node."""
+        looking: set[asyncio.Task[int]] = set()
+        while True:
+            accepted = self.report.accepted()
+            if accepted and self.deployment.fronts and len(looking) < MAX_CONCURRENT_LOOKUPS:
+                task = asyncio.create_task(self._check_answer(self.rng.choice(accepted)))
+                looking.add(task)
+                task.add_done_callback(looking.discard)
+            await asyncio.sleep(LOOKUP_INTERVAL_S)
+
+    async def _look_up(self, message: SentMessage) -> None:
+        await self._check_answer(message)
+
+    async def _check_answer(self, message: SentMessage) -> int:
+        """Look a message up once; whatever contradicts what was answered before is a failure.
+
+        :returns: the status of the response; 0 without one.
+        """
+        was_ended = message.name in self._reported_ended
+        front = self.rng.choice(self.deployment.fronts)
+        sent = await send_call(front, HttpCall("GET", f"/-/message/{message.name}"))
+        if not isinstance(sent, Ok):
+            return 0
+        status = sent.ok_value.status
+        if status in UNKNOWN_STATUSES:
+            self.report.failures.append(f"{message.name}: accepted, and {front} answers {status}")
+        elif status == 200:
+            self._apply_status(message, json.loads(sent.ok_value.body), was_ended, front)
+        return status
+
+    def _apply_status(self, message: SentMessage, body: dict[str, str], was_ended: bool, front: str) -> None:
+        if body["condition"] != PENDING:
+            self._reported_ended.add(message.name)
+            message.condition, message.receipt = body["condition"], body.get("seal", "")
+        elif was_ended:
+            self.report.failures.append(f"{message.name}: has ended, and {front} answers {PENDING}")
+
+    async def _look_up_without_each_storage_node(self) -> None:
+        """Any one storage node may be silent: all that was accepted is known to have ended all the same."""
+        for machine in self.deployment.of("storage"):
+            self.report_progress(f"all messages are looked up without {machine.name}")
+            _signal(machine, signal.SIGSTOP)
+            accepted = self.report.accepted()
+            for start in range(0, len(accepted), MAX_CONCURRENT_LOOKUPS):
+                batch = accepted[start : start + MAX_CONCURRENT_LOOKUPS]
+                statuses = await asyncio.gather(*(self._check_answer(message) for message in batch))
+                self._record_unanswered(machine, batch, statuses)
+            _signal(machine, signal.SIGCONT)
+            await self._wait_until_healed()
+
+    def _record_unanswered(
+        self, unresponsive: Machine, batch: Sequence[SentMessage], statuses: Sequence[int]
+    ) -> None:
+        for message, status in zip(batch, statuses, strict=True):
+            if status != 200:
+                self.report.failures.append(f"{message.name}: {status} while {unresponsive.name} is silent")
+
+    def _check_logs(self) -> None:
+        for machine in self.deployment.machines.values():
+            text = (self.deployment.folder / f"{machine.name}.log").read_text(errors="replace")
+            self.report.failures += [
+                f"{machine.name} logs: {entry}"
+                for entry in text.splitlines()
+                if any(bad in entry for bad in BAD_LOG_TEXTS)
+            ]
+
+
+def _signal(machine: Machine, number: signal.Signals) -> None:
+    if machine.process is not None:
+        machine.process.send_signal(number)
--- a/amberlug/cluster/process.py
+++ b/amberlug/cluster/process.py
@@ -85,15 +85,18 @@
     """A node in its process: it is built, served, drained and ended here.
 
     :param path: of the settings file, which is read again when it changes.
+    :param transport_type: what carries its messages to peers.
     """
 
-    def __init__(self, settings: Settings, path: str) -> None:
+    def __init__(
+        self, settings: Settings, path: str, transport_type: type[PeerTransport] = PeerTransport
+    ) -> None:
         self.settings, self._path = settings, path
         self._node: Node | None = None
         self._servers: list[Server] = []
         self._close_storage: list[Callable[[], None]] = []
         self._ended = asyncio.Event()
-        self.transport = PeerTransport(self._handle_message, self._on_disconnect)
+        self.transport = transport_type(self._handle_message, self._on_disconnect)
         self._stamp = self._file_stamp()
 
     def _handle_message(self, message: RawMessage, origin: str, respond: Respond) -> None:
@@ -281,9 +284,10 @@
     return post
 
 
-def main(path: str) -> int:
+def main(path: str, transport_type: type[PeerTransport] = PeerTransport) -> int:
     """Read the settings file and serve.
 
+    :param transport_type: what carries messages to peers.
     :returns: the exit code: `EX_BAD_SETTINGS` where the file has errors, which are printed.
     """
     logging.set_verbosity(logging.INFO)
@@ -295,7 +299,7 @@
     settings = found.ok_value
 
     async def serve() -> int:
-        return await NodeProcess(settings, path).run()
+        return await NodeProcess(settings, path, transport_type).run()
 
     return asyncio.run(serve())
 
