Start each soak at loopback addresses of its own

Cause: two soaks that began at the same moment both found the usual addresses free, and one ended with 'address already in use'. Change: a soak begins at random loopback addresses, and looks whether they are free.

--- a/amberlug/cluster/local_deployment/commands.py
+++ b/amberlug/cluster/local_deployment/commands.py
@@ -15,7 +15,7 @@
 
 import click
 
-from amberlug.cluster.local_deployment.deployment import FAULTY_PROGRAM, Deployment, free_net
+from amberlug.cluster.local_deployment.deployment import FAULTY_PROGRAM, Deployment, free_net, random_net
 from amberlug.cluster.local_deployment.fake_endpoint import EndpointSettings, FakeEndpoint
 from amberlug.cluster.local_deployment.soak import Soak
 from amberlug.cluster.local_deployment.trial import Trial, TrialLoad
@@ -137,7 +137,9 @@
     """Play one seed; its folder is kept only where something was wrong."""
     with tempfile.TemporaryDirectory(prefix="amberlug-soak-") as name:
         folder, rng = Path(name), random.Random(seed)
-        deployment = Deployment(folder, free_net(random.Random()), FAULTY_PROGRAM)
+        # Not the usual addresses: another soak may start at the same moment.
+        net_rng = random.Random()
+        deployment = Deployment(folder, free_net(net_rng, random_net(net_rng)), FAULTY_PROGRAM)
         report = await Soak(deployment, load, rng, lambda text: click.echo(text, err=True)).run()
         if keep is not None and report.all_failures():
             shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
--- a/amberlug/cluster/local_deployment/deployment.py
+++ b/amberlug/cluster/local_deployment/deployment.py
@@ -96,14 +96,22 @@
     }
 
 
-def free_net(rng: random.Random) -> str:
-    """The first three numbers of loopback addresses at which nobody listens."""
-    net = DEFAULT_NET
+def free_net(rng: random.Random, first: str = DEFAULT_NET) -> str:
+    """The first three numbers of loopback addresses at which nobody listens.
+
+    :param first: the ones that are tried first.
+    """
+    net = first
     while not _is_free_net(net):
-        net = f"127.{rng.randrange(1, 255)}.{rng.randrange(1, 255)}"
+        net = random_net(rng)
     return net
 
 
+def random_net(rng: random.Random) -> str:
+    """The first three numbers of any loopback addresses."""
+    return f"127.{rng.randrange(1, 255)}.{rng.randrange(1, 255)}"
+
+
 def _is_free_net(net: str) -> bool:
     ports = (CONTROL_PORT, FRONT_PORT, READINESS_PORT, INTERNAL_PORTS[0])
     hosts = [
--- a/tests/cluster/test_soak.py
+++ b/tests/cluster/test_soak.py
@@ -4,14 +4,15 @@
 import random
 from pathlib import Path
 
-from amberlug.cluster.local_deployment.deployment import FAULTY_PROGRAM, Deployment, free_net
+from amberlug.cluster.local_deployment.deployment import FAULTY_PROGRAM, Deployment, free_net, random_net
 from amberlug.cluster.local_deployment.soak import Soak
 from amberlug.cluster.local_deployment.trial import TrialLoad
 
 
 def test_nothing_accepted_is_lost_or_forgotten_under_faults_that_overlap(tmp_path: Path) -> None:
     async def play() -> list[str]:
-        deployment = Deployment(tmp_path, free_net(random.Random()), FAULTY_PROGRAM)
+        net_rng = random.Random()  # other tests start deployments at the same moments
+        deployment = Deployment(tmp_path, free_net(net_rng, random_net(net_rng)), FAULTY_PROGRAM)
         report = await Soak(deployment, TrialLoad(20.0, 3.0), random.Random(4), print).run()
         assert report.accepted()
         return report.all_failures()
