Answer 404 to look-ups only from a node in contact with a majority

Change: without a session with a control-plane node, which keeps one only while it reaches a majority, 'not found' is answered 503. Fewer answers are remembered (8,000 of each kind).

--- a/amberlug/cluster/edge/answer_history.py
+++ b/amberlug/cluster/edge/answer_history.py
@@ -20,7 +20,7 @@
 VIOLATION_PREFIX = "invariant violated: "  # of the names of counters
 ACCEPTED_IS_KNOWN = VIOLATION_PREFIX + "accepted message unknown"
 ENDED_STAYS_ENDED = VIOLATION_PREFIX + "ended message open"
-MAX_REMEMBERED = 20_000  # messages of each kind; the oldest are forgotten
+MAX_REMEMBERED = 8_000  # messages of each kind; the oldest are forgotten
 # Of the time for which an outcome is known: the clocks of nodes differ, and messages are deleted in sweeps.
 REMEMBERED_SHARE = 0.9
 
--- a/amberlug/cluster/edge/lookup.py
+++ b/amberlug/cluster/edge/lookup.py
@@ -34,6 +34,10 @@
         """Respond with the status of a message."""
 
         def answer(outcome: MessageOutcome | None) -> None:
+            if outcome == NOT_FOUND and not self._context.session.control_address:
+                outcome = (
+                    None  # the roster may have changed: only nodes in contact with a majority hear of it
+                )
             respond(_outcome_response(self._history.checked(name, outcome)))
 
         self.find_outcome(name, answer)
--- a/tests/cluster/test_outcomes.py
+++ b/tests/cluster/test_outcomes.py
@@ -17,6 +17,7 @@
 from amberlug.cluster.edge.storage_reads import FoundBody
 from amberlug.cluster.interfaces import Json, Reply, RequestFailure
 from amberlug.cluster.simulation.clock import Clock
+from amberlug.cluster.simulation.deployment import Request
 from amberlug.cluster.simulation.mutations import mutated
 from amberlug.cluster.storage.messages import Acknowledgement
 from amberlug.cluster.storage.outcomes import OPEN, MessageOutcome
@@ -255,6 +256,20 @@
     assert rig.notified_of_outcomes() == ["a", "b", "c"]
 
 
+@pytest.mark.parametrize(("control_address", "status"), [("10.0.3.1:7300", 404), ("", 503)])
+def test_only_a_node_with_a_session_answers_that_there_is_no_such_message(
+    control_address: str, status: int
+) -> None:
+    rig = EdgeRig()
+    rig.edge.session.control_address = control_address
+    statuses: list[int] = []
+    rig.edge.lookup.message(
+        Request("GET", "/-/message/0-x"), "0-x", lambda response: statuses.append(response.status)
+    )
+    rig.answer("find", dict.fromkeys(STORES, FOUND_NONE))
+    assert statuses == [status]
+
+
 # -- bodies
 
 
