Log why a look-up has no answer, and ask again in the soak as clients do

Which disks had answered, under which roster, was not logged. Change: 'message X can't be looked up: ...' names them, at most a line a second. The soak waits the second that Retry-After tells, twice at most; 503 is the answer of a node that can't be sure, and nodes hear of a roster one after the other.

--- a/amberlug/cluster/edge/answer_history.py
+++ b/amberlug/cluster/edge/answer_history.py
@@ -17,9 +17,9 @@
 from amberlug.cluster.edge.outcomes import NOT_FOUND
 from amberlug.cluster.storage.outcomes import MessageOutcome
 
-VIOLATION_PREFIX = "invariant violated: "  # of the names of counters
-ACCEPTED_IS_KNOWN = VIOLATION_PREFIX + "accepted message unknown"
-ENDED_STAYS_ENDED = VIOLATION_PREFIX + "ended message open"
+VIOLATION_PREFIX = "invariant violated: "  # of counters and log lines
+ACCEPTED_IS_KNOWN = "accepted message unknown"
+ENDED_STAYS_ENDED = "ended message open"
 MAX_REMEMBERED = 8_000  # messages of each kind; the oldest are forgotten
 # Of the time for which an outcome is known: the clocks of nodes differ, and messages are deleted in sweeps.
 REMEMBERED_SHARE = 0.9
@@ -46,8 +46,8 @@
             return None
         violated = self._violated_by(message_id, outcome)
         if violated:
-            self._context.count(violated)
-            logging.error("%s: %s", violated, message_id)
+            self._context.count(f"invariant violated: {violated}")
+            logging.error("invariant violated: %s: %s", violated, message_id)
             return None
         if not outcome.is_open and outcome != NOT_FOUND:
             self._remember(self._reported_ended_at, message_id)
--- a/amberlug/cluster/edge/storage_reads.py
+++ b/amberlug/cluster/edge/storage_reads.py
@@ -20,7 +20,7 @@
 
 READ_TIMEOUT_S = 0.5  # for a storage node, or an edge node that is asked, to answer
 READ_SLACK_S = 0.05  # beyond it, until a read of several nodes ends without those that have not answered
-NOT_FOUND_LOG_INTERVAL_S = 1.0  # at least, between lines about messages that were not found
+LOG_INTERVAL_S = 1.0  # at least, between lines about look-ups
 
 OutcomeCallback = Callable[[MessageOutcome | None], None]
 
@@ -179,29 +179,39 @@
             on_durable = partial(self._finish, ended.outcome)
             self._replicator.restore_outcome(ended, self._ended_disks, on_durable, self._answered_disks)
 
-    def _log_not_found(self) -> None:
-        """Say on whose answers a message counts as never stored: no client may hear that of one that was."""
-        self._context.count("lookups: not found")
+    def _log_details(self) -> tuple[object, ...]:
+        """For log lines: the message, who has and has not answered, the roster here and the newest known."""
         stores = self._replicator.stores
-        logging.log_every_n_seconds(
-            logging.INFO,
-            "message %s is not found: %s do not have it, %s have not answered (roster %d)",
-            NOT_FOUND_LOG_INTERVAL_S,
+        return (
             self._message_id,
             sorted(stores[disk].name for disk in self._answered_disks if disk in stores),
             sorted(store.name for disk, store in stores.items() if disk not in self._answered_disks),
             self._replicator.roster_index,
+            self._newest_roster,
         )
 
     def _timed_out(self) -> None:
-        if not self._finished:
-            self._context.count("lookups: unanswered")
-            self._finish(None)
+        if self._finished:
+            return
+        self._context.count("lookups: unanswered")
+        logging.log_every_n_seconds(
+            logging.INFO,
+            "message %s can't be looked up: %s have answered, %s have not (roster %d, heard of %d)",
+            LOG_INTERVAL_S,
+            *self._log_details(),
+        )
+        self._finish(None)
 
     def _finish(self, outcome: MessageOutcome | None) -> None:
         if self._finished:
             return
         self._finished = True
         if outcome == NOT_FOUND:
-            self._log_not_found()
+            self._context.count("lookups: not found")
+            logging.log_every_n_seconds(
+                logging.INFO,
+                "message %s is not found: %s do not have it, %s have not answered (roster %d, heard of %d)",
+                LOG_INTERVAL_S,
+                *self._log_details(),
+            )
         self._on_outcome(outcome)
--- a/amberlug/cluster/local_deployment/soak.py
+++ b/amberlug/cluster/local_deployment/soak.py
@@ -37,6 +37,9 @@
 LOOKUP_INTERVAL_S = 0.02  # between look-ups while messages are sent
 HEALED_TIMEOUT_S = 20.0  # for all nodes to be back, and the roster to be whole
 UNKNOWN_STATUSES = (404, 410)
+UNAVAILABLE_STATUS = 503
+RETRY_AFTER_S = 1.0  # as edge nodes tell clients
+MAX_RETRIES = 2
 # In the log of a node: what it found wrong itself, and errors that nobody handled.
 BAD_LOG_TEXTS = (VIOLATION_PREFIX, "AssertionError", "Traceback")
 
@@ -221,11 +224,24 @@
             accepted = self.report.accepted()
             for start in range(0, len(accepted), MAX_CONCURRENT_LOOKUPS):
                 batch = accepted[start : start + MAX_CONCURRENT_LOOKUPS]
-                statuses = await asyncio.gather(*(self._check_answer(message) for message in batch))
+                statuses = await asyncio.gather(*(self._check_answer_patiently(message) for message in batch))
                 self._record_unanswered(machine, batch, statuses)
             _signal(machine, signal.SIGCONT)
             await self._wait_until_healed()
 
+    async def _check_answer_patiently(self, message: SentMessage) -> int:
+        """Look a message up as clients do: again after a while, where it can't be known now.
+
+        Nodes hear of a roster one after the other; until then they answer 503.
+        """
+        status = await self._check_answer(message)
+        for _ in range(MAX_RETRIES):
+            if status != UNAVAILABLE_STATUS:
+                break
+            await asyncio.sleep(RETRY_AFTER_S)
+            status = await self._check_answer(message)
+        return status
+
     def _record_unanswered(
         self, unresponsive: Machine, batch: Sequence[SentMessage], statuses: Sequence[int]
     ) -> None:
