Wait in the soak until a lost disk has left the roster, by its id

Two of three disks were out at once, one more than is tolerated, so 503 was right. Change: the soak reads the id of a disk before it erases it, and waits until the roster lacks it.

--- a/amberlug/cluster/local_deployment/deployment.py
+++ b/amberlug/cluster/local_deployment/deployment.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import random
 import shutil
 import signal
 import socket
+import sqlite3
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable, Mapping, Sequence
@@ -21,6 +23,7 @@
 from amberlug.cluster.interfaces import Json
 from amberlug.cluster.local_deployment.http_call import HttpCall, send_call
 from amberlug.cluster.settings import SETTINGS_FILE_VARIABLE
+from amberlug.cluster.storage.message_store import FILE_NAME as MESSAGE_STORE_FILE
 
 FRONT_PORT, READINESS_PORT, CONTROL_PORT, ENDPOINT_PORT = 8263, 8268, 8262, 8080
 INTERNAL_PORTS = (7300, 7315)
@@ -252,6 +255,18 @@
             process.kill()
             process.wait()
 
+    def disk_id_of(self, machine: Machine) -> str | None:
+        """The id of a storage node's disk, read from its file; None where there is none."""
+        path = self._data_folder(machine) / MESSAGE_STORE_FILE
+        if not path.exists():
+            return None
+        with contextlib.closing(sqlite3.connect(path)) as database:
+            try:
+                row = database.execute("select value from about where name = 'disk'").fetchone()
+            except sqlite3.Error:
+                return None  # it was killed before it had begun the file
+        return str(row[0]) if row is not None else None
+
     def erase_disk(self, machine: Machine) -> None:
         """Delete what a machine that does not run has on disk."""
         assert machine.process is None, "a disk is erased while its machine is down"
--- a/amberlug/cluster/local_deployment/soak.py
+++ b/amberlug/cluster/local_deployment/soak.py
@@ -54,6 +54,7 @@
         self._faulted: set[str] = set()  # names of machines that a fault is in force on
         self._reported_ended: set[str] = set()  # names of messages
         self._faults = NetworkFaults()
+        self._erased_disk_ids: set[str] = set()
 
     async def _play(self) -> None:
         self._write_network_faults()
@@ -108,11 +109,17 @@
         self.deployment.kill(machine)
         if erase:
             self.report_progress(f"{machine.name} loses its disk")
-            self.deployment.erase_disk(machine)
+            self._erase_disk(machine)
         await asyncio.sleep(self.rng.uniform(*FAULT_S))
         self.deployment.start(machine)
         self._faulted.discard(machine.name)
 
+    def _erase_disk(self, machine: Machine) -> None:
+        disk_id = self.deployment.disk_id_of(machine)
+        if disk_id is not None:
+            self._erased_disk_ids.add(disk_id)
+        self.deployment.erase_disk(machine)
+
     async def _pause(self) -> None:
         machine = self._pick()
         if machine is not None:
@@ -156,16 +163,20 @@
         sent = await send_call(control, HttpCall("GET", "/-/Foreman.Status"))
         if not isinstance(sent, Ok) or sent.ok_value.status != 200:
             return False
-        disks = json.loads(sent.ok_value.body)["stores"].values()
-        storage_nodes = self.deployment.of("storage")
-        has_all_disks = len(disks) == len(storage_nodes) and all(disk["state"] == "full" for disk in disks)
+        disks = json.loads(sent.ok_value.body)["stores"]
+        has_all_disks = (
+            len(disks) == len(self.deployment.of("storage"))
+            and all(disk["state"] == "full" for disk in disks.values())
+            and not self._erased_disk_ids
+            & set(disks)  # until its successor comes, a lost disk counts as full
+        )
         return has_all_disks and await self._all_rejoined()
 
     async def _lose_all_and_one_disk(self) -> None:
         machine = self.rng.choice(self.deployment.of("storage"))
         self.report_progress(f"all are killed, {machine.name} loses its disk")
         self.deployment.kill_all()
-        self.deployment.erase_disk(machine)
+        self._erase_disk(machine)
         for each in self.deployment.machines.values():
             self.deployment.start(each)
         if not await self.deployment.wait_until_ready():
