Hold the new fields and the new request between nodes to their wire format

Need: frames are a protocol between versions; the fields that look-ups and outcomes rely on had no test of their bytes. Change: seven shapes beside those that are there.

--- a/tests/cluster/test_storage_frames.py
+++ b/tests/cluster/test_storage_frames.py
@@ -9,8 +9,11 @@
 from amberlug.cluster.rpc.messages import WireBody
 from amberlug.cluster.storage.content_messages import ContentReply, ContentRequest
 from amberlug.cluster.storage.messages import (
+    Acknowledgement,
     AcknowledgeReply,
     AcknowledgeRequest,
+    EndedMessagesReply,
+    EndedMessagesRequest,
     FenceReply,
     FenceRequest,
     OpenMessage,
@@ -70,6 +73,19 @@
     (ReplicaWriteReply(ReplicaWriteResult.STORAGE_FULL), '{"full": true}'),
     (ReplicaWriteReply(ReplicaWriteResult.NOT_ENROLLED), '{"early": true}'),
     (AcknowledgeReply(False), '{"ok": false}'),
+    (AcknowledgeReply(True), '{"ok": true}'),
+    (AcknowledgeReply(True, "d"), '{"ok": true, "disk": "d"}'),
+    (OutcomesReply({}, "d"), '{"found": {}, "disk": "d"}'),
+    (
+        OutcomesReply({"1-a": MessageOutcome("done", "r")}, "d", {"1-a": 2.5}, 7),
+        '{"found": {"1-a": ["done", "r"]}, "disk": "d", "until": {"1-a": 2.5}, "roster": 7}',
+    ),
+    (EndedMessagesRequest((1, 2), (1, "1-a")), '{"shards": [1, 2], "after": [1, "1-a"]}'),
+    (
+        EndedMessagesReply((Acknowledgement("1-a", 1, MessageOutcome("done", "r"), 2.5),), "d", False),
+        '{"ended": [["1-a", 1, "done", "r", 2.5]], "disk": "d", "more": false}',
+    ),
+    (ContentReply(None, OPEN, "d"), '{"found": false, "disk": "d"}'),
     (FenceReply(False), '{"ok": false}'),
     (ContentReply(None), '{"found": false}'),
     (ContentReply(b""), '{"found": true}'),
