Drop no lost disk that has come back, and enter none while one is being dropped

The leader proposed 'full' and the drop together, so a disk that owners counted for a moment left the roster unrepaired; in the other order a dropped disk would be entered again with messages that had ended meanwhile. Change: a lost disk whose node reports it is not dropped, and no disk is entered or marked while a drop is in flight. Measured: two tests that fail without it pass; 59 tests of losses, control, digests and outcomes pass.

--- a/amberlug/cluster/control/reconciler.py
+++ b/amberlug/cluster/control/reconciler.py
@@ -46,6 +46,7 @@
         self._owner_missing_since_s: dict[str, float] = {}
         self._disk_missing_since_s: dict[str, float] = {}
         self._absent_disks: set[str] = set()  # disks on the roster whose storage nodes have no session
+        self._present_disks: set[str] = set()  # disks that storage nodes report with their sessions
 
     def begin(self) -> None:
         """Reconcile now and in each interval, while this node leads and has committed in its term."""
@@ -98,8 +99,16 @@
     def update_roster(self, stores: Mapping[str, Session], now_s: float) -> None:
         """Enter disks that come, and mark those that are lost, so that their messages are replicated again.
 
+        Not while disks are being dropped: one of them that comes back would be entered again after its drop,
+        with messages that have ended meanwhile.
+
         :param stores: sessions of storage nodes, by name.
         """
+        self._present_disks = {
+            StorageAttributes.from_wire(session.details).disk_id for session in stores.values()
+        }
+        if LeaderRole.DROP_DISKS in self._in_flight:
+            return
         changes: dict[str, StoreEntry] = {}
         for session in stores.values():
             changes.update(self._entries_for(session))
@@ -169,13 +178,19 @@
         dropped = [
             disk
             for disk, store in leaving.items()
-            if store.state_index is not None and store.state_index <= roster_index
+            if store.state_index is not None
+            and store.state_index <= roster_index
+            and not self._is_coming_back(disk, store)
         ]
         if dropped:
             names = [leaving[disk].name for disk in dropped]
             logging.info("roster: %s have no replica that is needed any more", names)
             self.propose(LeaderRole.DROP_DISKS, UpdateRoster(dropped=tuple(dropped)))
 
+    def _is_coming_back(self, disk: str, store: StoreEntry) -> bool:
+        """Whether a disk that is marked as lost is there again: it counts soon, and is not to be dropped."""
+        return store.state is StoreState.LOST and disk in self._present_disks
+
     def _is_full_disk_absent(self) -> bool:
         """Whether a disk whose replicas count belongs to a storage node without a session."""
         roster = self.cluster_state.roster
--- a/tests/cluster/test_losses.py
+++ b/tests/cluster/test_losses.py
@@ -185,6 +185,25 @@
     assert [it["drop"] for it in rig.proposed] == [["disk-d"]]
 
 
+def test_a_lost_disk_that_is_there_again_is_not_dropped(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Owners may count it from now on: a drop that was proposed with its return would take it away."""
+    rig = Leader(monkeypatch)
+    rig.set_state("disk-c", StoreState.LOST)
+    rig.reconcile_roster("a", "b", "c")
+    rig.drop_disks()
+    assert [it for it in rig.proposed if it.get("drop")] == []
+
+
+def test_no_disk_is_entered_while_one_is_being_dropped(monkeypatch: pytest.MonkeyPatch) -> None:
+    rig = Leader(monkeypatch)
+    rig.set_state("disk-c", StoreState.LOST)
+    rig.reconcile_roster("a", "b")
+    rig.drop_disks()
+    assert [it["drop"] for it in rig.proposed] == [["disk-c"]]
+    rig.reconcile_roster("a", "b", "c")
+    assert len(rig.proposed) == 1, "it would be on the roster again after its drop"
+
+
 @pytest.mark.parametrize(
     ("seed", "family"), [(1, "losses-stores"), (2, "losses-stores-zone"), (3, "losses-stores-region")]
 )
