Edge: route waiting messages by host and path, not by the name of a route

An owner looked up the stored name of the accepting route in the newest table, and a configuration may give that name to another path. The same look-up served recovery, retries, time-outs, attempts and expiry; an owner with an older configuration used its own route of that name.

Change: the owner matches host and target, as for a request, once when it admits a message and once for each new table; all else reads the result. A message waits until the configuration that accepted it is known. All routes are assigned before a message is ended or offered. Stored data and frames stay as they are.

Why it holds: a message is only ever called at the service that a configuration gives for its request, since nothing else is consulted.

Test setups that gave a service by name give a route now; one message got the host that its route asks for.

--- a/amberlug/cluster/dispatch/message.py
+++ b/amberlug/cluster/dispatch/message.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Self
 
+from amberlug.cluster.http.routing import Route
 from amberlug.cluster.interfaces import Headers
 from amberlug.cluster.storage.outcomes import OPEN, MessageMetadata, MessageOutcome
 
@@ -32,7 +33,7 @@
     host: str
     method: str
     target: str
-    route: str
+    accepted_route: str  # the name of its route when it was accepted; stored, but not used for routing
     sequence_key: str  # empty if no ordering is requested
     accepted_at: float  # when it arrived at an edge
     due_at: float  # it is not delivered earlier
@@ -47,12 +48,21 @@
     call_count: int = 0
     in_flight: bool = False  # a call is in flight, here or at the previous owner
     ended: bool = False
-    service: str = ""
-    rank: int = 0  # the route's precedence
+    route: Route | None = None  # by the newest configuration here; None if that has none for it
     outcome: MessageOutcome = OPEN
-    config_index: int = 0  # log index of the newest configuration at the edge that admitted it
+    config_index: int = 0  # log index of the configuration by which an edge accepted it
     last_endpoint_id: str = ""  # the endpoint of the latest call
 
+    @property
+    def service(self) -> str:
+        """The service that it is delivered to; empty without a route."""
+        return self.route.service if self.route is not None else ""
+
+    @property
+    def rank(self) -> int:
+        """The precedence of its route."""
+        return self.route.rank if self.route is not None else 0
+
     def encode_metadata(self) -> MessageMetadata:
         """Encode the metadata stored with the body; the keys are part of the storage format."""
         return {
@@ -60,7 +70,7 @@
             "h": self.host,
             "m": self.method,
             "t": self.target,
-            "r": self.route,
+            "r": self.accepted_route,
             "k": self.sequence_key,
             "w": round(self.accepted_at, 4),
             "d": round(self.due_at, 4),
--- a/amberlug/cluster/edge/delivery.py
+++ b/amberlug/cluster/edge/delivery.py
@@ -4,6 +4,8 @@
 
 from functools import partial
 
+from absl import logging
+
 from amberlug.cluster.dispatch.call_outcome import CallOutcome, evaluate_result
 from amberlug.cluster.dispatch.delivery_queue import DeliveryQueue
 from amberlug.cluster.dispatch.message import Message
@@ -28,6 +30,10 @@
 
     Invariant: until it ends, a stored message is in the `queue` of its shard's owner, or in flight at the
     previous owner, which then reports the outcome of the call. A message ends once.
+
+    Invariant: a message is called only at the service that the newest configuration known here gives for its
+    host and target, and not before the configuration by which it was accepted is known here. The name of the
+    route that accepted it is not used: a later configuration may give that name to another route.
     """
 
     def __init__(self, context: EdgeContext, endpoints: Endpoints, reader: StorageReader) -> None:
@@ -42,7 +48,6 @@
         self.pending_bytes = 0  # of the bodies of the messages in `queue`
         self.under_replicated: dict[str, Message] = {}  # by id: messages with too few replicas
         self._in_flight_of_released_shards: set[Message] = set()
-        self._awaiting_routes: list[Message] = []  # due, but their configuration has not arrived yet
 
     def begin(self) -> None:
         """Start the periodic search for expired messages."""
@@ -73,65 +78,78 @@
 
     def add(self, message: Message) -> None:
         """Start delivering a stored message."""
-        routes = self._context.routes
-        if message.route not in routes.by_name and message.config_index <= routes.index:
+        self._assign_route(message)
+        if self._is_dropped(message):
             message.ended = True
             self._count_end(message.id, DROPPED)
             self._context.replicator.record_outcome(message, DROPPED)
             return
         self.pending_bytes += message.body_bytes
-        self._assign_service(message)
         self.queue.add(message)
         if not self._context.replicator.is_write_quorum(message.holders):
             self.under_replicated[message.id] = message
 
-    def _assign_service(self, message: Message) -> bool:
-        """Set a message's service by the current routing table.
+    # -- routes
+
+    def _awaits_configuration(self, message: Message) -> bool:
+        """Whether the configuration by which a message was accepted has not arrived here yet."""
+        return message.config_index > self._context.routes.index
 
-        :returns: False if its route is not configured. In that case the message has ended, unless a call is
-            in flight or the message's configuration has not arrived here yet.
+    def _assign_route(self, message: Message) -> bool:
+        """Set a message's route by the current routing table.
+
+        :returns: whether the message is now delivered to another service than before.
         """
-        routes = self._context.routes
-        route = routes.by_name.get(message.route)
-        if route is not None:
-            message.service, message.rank = route.service, route.rank
-            # A replica that a lost storage node brings back after that has expired and is not executed.
-            message.keep_until = message.accepted_at + route.retention_s + 2 * RETENTION_SLACK_S
-            return True
-        if message.config_index <= routes.index and not message.in_flight:
-            self._end(message, DROPPED)
-        return False
+        if self._awaits_configuration(message):
+            return False
+        service_before = message.service
+        message.route = self._context.routes.match(message.host, message.target)
+        if message.route is None:
+            return False
+        # A replica that a lost storage node brings back after that has expired and is not executed.
+        message.keep_until = message.accepted_at + message.route.retention_s + 2 * RETENTION_SLACK_S
+        return message.service != service_before
+
+    def _is_dropped(self, message: Message) -> bool:
+        """Whether the current routing table has no route for a message, which therefore ends."""
+        return message.route is None and not self._awaits_configuration(message)
 
     def apply_routes(self) -> None:
         """Apply a new routing table."""
         self.dispatchers.apply_routes()
-        for message in list(self.queue.messages.values()):
-            service_before = message.service
-            if self._assign_service(message) and service_before != message.service and not message.in_flight:
+        messages = list(self.queue.messages.values())
+        # All routes are assigned before a message is ended or offered, which may dispatch others of its key.
+        moved = [message for message in messages if self._assign_route(message)]
+        dropped = [message for message in messages if self._is_dropped(message)]
+        if moved or dropped:
+            logging.info(
+                "configuration %d: %d waiting messages change service, %d have no route any more",
+                self._context.routes.edition,
+                len(moved),
+                len(dropped),
+            )
+        for message in dropped:
+            if not message.in_flight:
+                self._end(message, DROPPED)
+        for message in moved:
+            if not message.in_flight:
                 self.queue.requeue(message)
-        awaiting, self._awaiting_routes = self._awaiting_routes, []
-        for message in awaiting:
-            if message.id in self.queue.messages and not message.ended:
-                self._dispatch(message)
         self.dispatchers.apply_rate_limits()
 
     # -- calls
 
     def _dispatch(self, message: Message) -> None:
         """Dispatch a message that is due and the first of its sequence key."""
-        routes = self._context.routes
-        route = routes.by_name.get(message.route)
-        if route is None:
-            if message.config_index > routes.index:
-                self._awaiting_routes.append(message)
-            else:
-                self._end(message, DROPPED)
-        elif self._is_expired(message, route):
+        if self._awaits_configuration(message):
+            return  # `apply_routes` offers it again
+        if message.route is None:
+            self._end(message, DROPPED)
+        elif self._is_expired(message, message.route):
             self._end(message, EXPIRED)
         elif message.body is None:
             self._read_body(message)
         else:
-            self.dispatchers.dispatch(route.service, message)
+            self.dispatchers.dispatch(message.route.service, message)
 
     def _is_expired(self, message: Message, route: Route) -> bool:
         age_s = self._context.runtime.wall_clock() - message.accepted_at
@@ -150,8 +168,7 @@
             self._context.runtime.call_later(BODY_READ_RETRY_S, lambda: self._read_body(message))
 
     def _call_finished(self, message: Message, result: CallResult) -> None:
-        route = self._context.routes.by_name.get(message.route)
-        max_attempts = route.max_attempts if route is not None else UNROUTED_MAX_ATTEMPTS
+        max_attempts = message.route.max_attempts if message.route is not None else UNROUTED_MAX_ATTEMPTS
         outcome = evaluate_result(message, result, max_attempts)
         self._context.count(f"calls: {outcome.end or result.verdict.description}")
         message.failures += outcome.is_failure
@@ -179,7 +196,9 @@
     def _retry(self, message: Message) -> None:
         if message.id in self.queue.messages and not message.ended:
             message.in_flight = False
-            if self._assign_service(message):
+            if self._is_dropped(message):
+                self._end(message, DROPPED)
+            else:
                 self.queue.requeue(message)
 
     # -- outcomes and release
@@ -240,6 +259,6 @@
         runtime.call_later(SWEEP_INTERVAL_S, self.sweep)
         self.outcomes.forget_before(runtime.now() - self._context.settings.seconds("statusTtlS"))
         for message in list(self.queue.messages.values()):
-            route = self._context.routes.by_name.get(message.route)
+            route = message.route
             if route is not None and not message.in_flight and self._is_expired(message, route):
                 self._end(message, EXPIRED)
--- a/amberlug/cluster/edge/dispatchers.py
+++ b/amberlug/cluster/edge/dispatchers.py
@@ -123,5 +123,4 @@
         return dispatcher
 
     def _call_timeout_s(self, message: Message) -> float:
-        route = self._context.routes.by_name.get(message.route)
-        return route.expiry_s if route is not None else UNROUTED_CALL_TIMEOUT_S
+        return message.route.expiry_s if message.route is not None else UNROUTED_CALL_TIMEOUT_S
--- a/amberlug/cluster/edge/intake.py
+++ b/amberlug/cluster/edge/intake.py
@@ -129,8 +129,7 @@
             # There is no routing table, or it may be older than an acknowledged one.
             self._reject(respond, 503, "no configuration that a majority has confirmed")
             return
-        host = (request.header("host") or "").partition(":")[0]
-        route = self._context.routes.match(host, request.target.partition("?")[0])
+        route = self._context.routes.match(request.header("host") or "", request.target)
         if route is None:
             self._context.count("no route")
             respond(ClientResponse(404, {"cause": "no route"}))
@@ -188,7 +187,7 @@
             host=request.header("host") or "",
             method=request.method,
             target=request.target,
-            route=route.name,
+            accepted_route=route.name,
             sequence_key=key,
             accepted_at=accepted_at,
             due_at=accepted_at + submission.delay_ms / 1000,
--- a/amberlug/cluster/http/routing.py
+++ b/amberlug/cluster/http/routing.py
@@ -21,7 +21,7 @@
 class Route:
     """The route of requests with one host and path prefix; durations are in seconds."""
 
-    name: str
+    name: str  # identifies the route within one configuration only
     host: str  # in lower case, without a port
     prefix: str
     service: str
@@ -42,24 +42,29 @@
 
 @value
 class RoutingTable:
-    """A complete configuration; `index`, its position in the Raft log, orders configurations by age."""
+    """A complete configuration; `index`, its position in the Raft log, orders configurations by age.
+
+    A request is routed by its host and path alone: a later configuration may give a route's name to another
+    route.
+    """
 
     index: int = 0
     edition: int = 0  # the operators' version number
     by_host: Mapping[str, tuple[Route, ...]] = field(default_factory=lambda: MappingProxyType({}), hash=False)
-    by_name: Mapping[str, Route] = field(default_factory=lambda: MappingProxyType({}), hash=False)
     services: Mapping[str, Destination] = field(default_factory=lambda: MappingProxyType({}), hash=False)
     header_bytes: int = DEFAULT_HEADER_BYTES
     body_bytes: int = DEFAULT_BODY_BYTES
     header_s: float = DEFAULT_HEADER_TIMEOUT_S
     idle_s: float = DEFAULT_IDLE_TIMEOUT_S
 
-    def match(self, host: str, path: str) -> Route | None:
-        """Find the route of a host with the longest matching path prefix.
+    def match(self, host: str, target: str) -> Route | None:
+        """Find the route of a request: the one of its host with the longest matching path prefix.
 
-        :param host: without its port, in upper or lower case.
+        :param host: the `Host` header, in upper or lower case; a port is ignored.
+        :param target: the request target; a query is ignored.
         """
-        for route in self.by_host.get(host.lower(), ()):
+        path = target.partition("?")[0]
+        for route in self.by_host.get(host.partition(":")[0].lower(), ()):
             if path.startswith(route.prefix):
                 return route
         return None
@@ -103,7 +108,6 @@
         index=index,
         edition=config["edition"],
         by_host=_group_by_host(routes),
-        by_name=MappingProxyType({route.name: route for route in routes}),
         services=MappingProxyType(
             {item["name"]: _parse_destination(item) for item in config["serviceTable"]}
         ),
--- a/amberlug/cluster/simulation/clients.py
+++ b/amberlug/cluster/simulation/clients.py
@@ -31,6 +31,9 @@
     delayed: float = 0.1  # fraction of messages with Amberlug-Not-Before
     never: float = 0.02  # fraction of messages that no endpoint ever completes
     asks: float = 3.0  # status queries per second for accepted messages
+    extra: float = (
+        0.15  # chance that a message is followed by one for a route that was added or removed recently
+    )
 
 
 class Clients:
@@ -91,7 +94,7 @@
         if self.sending:
             self.clock.call_later(self.rng.expovariate(self.load.rate), self._next)
             self.send(self.rng.choice(self.load.paths))
-            if self.extra and self.rng.random() < 0.15:
+            if self.extra and self.rng.random() < self.load.extra:
                 self.send(self.rng.choice(self.extra))
 
     def send(self, path: str) -> None:
--- a/amberlug/cluster/simulation/mutations.py
+++ b/amberlug/cluster/simulation/mutations.py
@@ -41,6 +41,7 @@
     mutations_losses,
     mutations_outcomes,
     mutations_partitions,
+    mutations_routes,
     mutations_voters,
 )
 from amberlug.cluster.storage.messages import ReplicaWriteReply, ReplicaWriteResult
@@ -253,6 +254,7 @@
     **mutations_losses.FAULTS,
     **mutations_answers.FAULTS,
     **mutations_outcomes.FAULTS,
+    **mutations_routes.FAULTS,
 }
 
 
--- a/amberlug/cluster/simulation/operator.py
+++ b/amberlug/cluster/simulation/operator.py
@@ -69,6 +69,7 @@
         self.lost = 0.0  # fraction of the acknowledgements that are lost
         self.repeats = 0.0  # fraction of the acknowledged changes that are repeated later
         self.retiring = ""  # the storage node that is being retired
+        self.changes_names = False  # changes drop, rename, swap and reuse the names of routes
         # Called as the acknowledgement of a change is sent.
         self.on_acknowledged: Callable[[Machine], None] = lambda core: None
         self._numbers = 0
@@ -95,6 +96,8 @@
 
     def _changed(self) -> Json:
         """Draw a changed configuration: another timeout, or a route added, removed or redirected."""
+        if self.changes_names:
+            return self._with_changed_names()
         config, rng = deepcopy(self.config), self.rng
         routes = config["routeTable"]
         extra = [it for it in routes if it["pathPrefix"].startswith("/x")]
@@ -111,6 +114,28 @@
             moved["targetService"] = "beta" if moved["targetService"] == "alpha" else "alpha"
         return config
 
+    def _with_changed_names(self) -> Json:
+        """Draw a configuration in which routes are renamed, or a name is given to another path."""
+        config, rng = deepcopy(self.config), self.rng
+        routes = config["routeTable"]
+        extra = [it for it in routes if it["pathPrefix"].startswith("/x")]
+        self._extra += 1
+        added = route(f"/x{self._extra}/", rng.choice(("alpha", "beta", "gamma")))
+        what = rng.choice(("add", "rename", "swap", "swap", *(("reuse", "reuse", "drop") if extra else ())))
+        if what == "add":
+            routes.append(added)
+        elif what == "rename":
+            rng.choice(routes)["name"] = added["name"]
+        elif what == "swap":
+            one, other = rng.sample(routes, 2)
+            one["name"], other["name"] = other["name"], one["name"]
+        else:
+            removed = rng.choice(extra)
+            routes.remove(removed)
+            if what == "reuse":
+                routes.append({**added, "name": removed["name"]})
+        return config
+
     def change(self) -> None:
         """Change the configuration, unless a change is in progress."""
         if not self.busy and self.edition:
--- a/amberlug/cluster/simulation/scenarios.py
+++ b/amberlug/cluster/simulation/scenarios.py
@@ -83,6 +83,8 @@
         if aim == "rate":
             paths = ("/plain/", "/seq/", "/rated/", "/rated/")
         load = Load(size.rate, paths, frozenset(("/seq/",)), rng.choice((4, 10, 30)), delayed)
+        if aim == "routes":
+            load = replace(load, delayed=0.5, extra=0.6)  # many messages wait as the configuration changes
         self.clients = Clients(self.deployment, load)
         first = {
             "routeTable": [
@@ -98,6 +100,7 @@
             "limits": {"maxHeaderBytes": 16384},
         }
         self.operator = Operator(self.deployment, first)
+        self.operator.changes_names = aim == "routes"
         self.compact = log.SNAPSHOT_ENTRIES  # Raft log entries between snapshots
         self.storage_faults = LossSchedule(self) if aim.startswith("losses") else StorageFaults(self)
         self.control = ControlFaults(self)
@@ -183,6 +186,7 @@
             "rate": [self._kill_edge, self._restart_edge],
             "freeze": [self._freeze_edge],
             "quiet": [lambda: 0.0],
+            "routes": [self._kill_edge, self._restart_edge, self._freeze_edge, self._partition_edge],
             "answers": [self._kill_edge, self._restart_edge, self._freeze_edge, self._partition_edge],
             "storage": [lambda: 0.0],
             "control": [lambda: 0.0],
@@ -199,6 +203,8 @@
         system = aims.get(self.aim, system)
         if self.aim == "config":
             others = [self._change_config_twice]
+        if self.aim == "routes":
+            others = [self._change_config, self._change_config, self._change_config_concurrently]
         if self.aim.startswith("losses"):
             system = [lambda: 0.0]
             others = [
--- a/tests/cluster/fakes.py
+++ b/tests/cluster/fakes.py
@@ -3,12 +3,15 @@
 import random
 from collections.abc import Callable
 
+from amberlug.cluster.http.routing import Route
 from amberlug.cluster.interfaces import Json, RawMessage, ReplyCallback
 from amberlug.cluster.settings import Settings
 from amberlug.cluster.simulation.clock import Clock, Timer
 from amberlug.cluster.simulation.deployment import Deployment
 from amberlug.cluster.simulation.machine import Machine
 
+ROUTE_TO_S = Route("r", "", "/", "s", 1.0, 0, 3, False, 90.0)  # of all requests, to the service `s`
+
 
 class UnresponsiveRuntime:
     """A runtime on a virtual clock that records requests and never replies to them."""
--- a/tests/cluster/test_contact.py
+++ b/tests/cluster/test_contact.py
@@ -23,6 +23,7 @@
 from amberlug.cluster.dispatch.message import Message
 from amberlug.cluster.gossip import announcements, store
 from amberlug.cluster.interfaces import OnWritten, Reply
+from amberlug.cluster.simulation.clients import HOST
 from amberlug.cluster.simulation.clock import Clock
 from amberlug.cluster.simulation.machine import Machine
 from amberlug.cluster.simulation.scenarios import Scenario
@@ -254,7 +255,7 @@
         machine.part.contents.messages[f"{shard}-x"] = StoredMessage(
             shard, 1, 1, {}, 1, MessageOutcome("done", "seal"), day.clock.now + 2e9
         )
-    message = Message(f"{shard}-x", shard, "x", "", "POST", "/plain/x", "r-plain", "", 1.79e9, 1.79e9)
+    message = Message(f"{shard}-x", shard, "x", HOST, "POST", "/plain/x", "r-plain", "", 1.79e9, 1.79e9)
     message.body, message.holders = None, set(edge.replicator.stores)
     edge.delivery.add(message)  # read as open without its body, before its outcome was known there
     day.clock.run(6.0)
--- a/tests/cluster/test_endpoint_answers.py
+++ b/tests/cluster/test_endpoint_answers.py
@@ -24,6 +24,7 @@
 from amberlug.cluster.rpc.transport import PeerTransport
 from amberlug.cluster.simulation.mutations_answers import FAULTS
 from amberlug.http.link import MAX_RESPONSE_BODY_BYTES
+from tests.cluster.fakes import ROUTE_TO_S
 from tests.cluster.memory_loop import End, Loop, run
 
 EXPIRY_S = 0.4
@@ -279,7 +280,7 @@
         message = Message(
             f"1-a{number}", 1, f"a{number}", "h", "POST", "/", "r", "", 0.0, 0.0, body=b"b" * 20
         )
-        message.service = "s"
+        message.route = ROUTE_TO_S
         self.messages[message.attempt_id] = message
         self.dispatcher.add(message)
 
--- a/tests/cluster/test_measured_regressions.py
+++ b/tests/cluster/test_measured_regressions.py
@@ -16,6 +16,7 @@
 from amberlug.cluster.interfaces import CallResult, CallVerdict, EndpointCall
 from amberlug.cluster.simulation.clock import Clock
 from amberlug.cluster.simulation.network import Host, Incarnation, Network, SimulatedRuntime
+from tests.cluster.fakes import ROUTE_TO_S
 from tests.cluster.test_rates import OneEndpoint
 
 
@@ -60,7 +61,9 @@
     endpoints = FullAtFirst(clock)
     service, done = dispatch(endpoints, clock, 8)
     for number in range(200):
-        service.add(Message(f"m{number}", 0, f"{number}", "", "GET", "/", "r", "", 0.0, 0.0, service="s"))
+        service.add(
+            Message(f"m{number}", 0, f"{number}", "", "GET", "/", "r", "", 0.0, 0.0, route=ROUTE_TO_S)
+        )
     clock.run(4.0)
     assert len(done) == 200  # 8 slots serve 80 per second; a limit learned from 12 refusals let 100 through
 
--- a/tests/cluster/test_rates.py
+++ b/tests/cluster/test_rates.py
@@ -11,6 +11,7 @@
 from amberlug.cluster.interfaces import CallResult, CallVerdict, EndpointCall
 from amberlug.cluster.simulation.clock import Clock
 from amberlug.cluster.simulation.network import Host, Incarnation, Network, SimulatedRuntime
+from tests.cluster.fakes import ROUTE_TO_S
 
 
 class OneEndpoint:
@@ -43,6 +44,8 @@
     service = Dispatcher("s", runtime, pool, endpoints, callbacks)
     service.set_rate(8.0, 0.2)
     for number in range(100):
-        service.add(Message(f"m{number}", 0, f"{number}", "", "GET", "/", "r", "", 0.0, 0.0, service="s"))
+        service.add(
+            Message(f"m{number}", 0, f"{number}", "", "GET", "/", "r", "", 0.0, 0.0, route=ROUTE_TO_S)
+        )
     clock.run(20.0)
     assert 30 <= endpoints.calls <= 34  # 1.6 per second for 20 s
--- a/tests/cluster/test_simulation_regressions.py
+++ b/tests/cluster/test_simulation_regressions.py
@@ -1,5 +1,6 @@
 """Regressions of faults that the simulation found, each in the smallest scenario that reproduces it."""
 
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -101,5 +102,6 @@
 def test_the_outcome_of_a_call_is_recorded_after_its_route_changed_service() -> None:
     day = Calm(1)
     edge, message = call_in_flight(day)
-    message.service = "beta"
+    assert message.route is not None
+    message.route = replace(message.route, service="beta")
     assert [it.in_flight for it in edge.delivery.release_shard(message.shard)] == [True]
