Routing: look up the longest prefix by its length, not route by route

Need: a new table now matches every waiting message of an owner by host and path, in one turn of the loop; the list of a host's routes was walked for each.

Change: the routes of a host stand in a mapping by prefix with the distinct lengths, the longest first. Of two routes with the same host and prefix, which validation rejects, the first one counts as before. A property test compares with the definition.

--- a/amberlug/cluster/http/routing.py
+++ b/amberlug/cluster/http/routing.py
@@ -40,6 +40,22 @@
     fixed: str | None  # static address, if the service's endpoints do not register themselves
 
 
+@value
+class HostRoutes:
+    """The routes of one host."""
+
+    by_prefix: Mapping[str, Route] = field(hash=False)
+    prefix_lengths: tuple[int, ...]  # the distinct ones, the longest first
+
+    def match(self, path: str) -> Route | None:
+        """Find the route with the longest prefix of a path."""
+        for length in self.prefix_lengths:
+            route = self.by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 @value
 class RoutingTable:
     """A complete configuration; `index`, its position in the Raft log, orders configurations by age.
@@ -50,7 +66,7 @@
 
     index: int = 0
     edition: int = 0  # the operators' version number
-    by_host: Mapping[str, tuple[Route, ...]] = field(default_factory=lambda: MappingProxyType({}), hash=False)
+    by_host: Mapping[str, HostRoutes] = field(default_factory=lambda: MappingProxyType({}), hash=False)
     services: Mapping[str, Destination] = field(default_factory=lambda: MappingProxyType({}), hash=False)
     header_bytes: int = DEFAULT_HEADER_BYTES
     body_bytes: int = DEFAULT_BODY_BYTES
@@ -63,11 +79,8 @@
         :param host: the `Host` header, in upper or lower case; a port is ignored.
         :param target: the request target; a query is ignored.
         """
-        path = target.partition("?")[0]
-        for route in self.by_host.get(host.partition(":")[0].lower(), ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        routes = self.by_host.get(host.partition(":")[0].lower())
+        return routes.match(target.partition("?")[0]) if routes is not None else None
 
 
 def _parse_route(item: Json) -> Route:
@@ -88,12 +101,17 @@
     return Destination(float(item.get("ratePerS", 0.0)), item.get("fixedAddress"))
 
 
-def _group_by_host(routes: list[Route]) -> Mapping[str, tuple[Route, ...]]:
-    """Group routes by host, the longest prefixes first."""
-    by_host: dict[str, list[Route]] = {}
-    for route in sorted(routes, key=lambda it: -len(it.prefix)):
-        by_host.setdefault(route.host, []).append(route)
-    return MappingProxyType({host: tuple(found) for host, found in by_host.items()})
+def _group_by_host(routes: list[Route]) -> Mapping[str, HostRoutes]:
+    """Group routes by host; of two with the same host and prefix, which is invalid, the first one counts."""
+    by_host: dict[str, dict[str, Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, {}).setdefault(route.prefix, route)
+    return MappingProxyType({host: _host_routes(by_prefix) for host, by_prefix in by_host.items()})
+
+
+def _host_routes(by_prefix: dict[str, Route]) -> HostRoutes:
+    lengths = {len(prefix) for prefix in by_prefix}
+    return HostRoutes(MappingProxyType(by_prefix), tuple(sorted(lengths, reverse=True)))
 
 
 def build(index: int, config: Json) -> RoutingTable:
--- a/amberlug/cluster/simulation/mutations_routes.py
+++ b/amberlug/cluster/simulation/mutations_routes.py
@@ -20,7 +20,7 @@
         service_before = message.service
         assign_route(self, message)
         for routes in self._context.routes.by_host.values():
-            for route in routes:
+            for route in routes.by_prefix.values():
                 if route.name == message.accepted_route:
                     message.route = route
         return message.service not in ("", service_before)
--- a/tests/cluster/test_route_changes.py
+++ b/tests/cluster/test_route_changes.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from amberlug.cluster.control.published_state import PublishedEndpoint
 from amberlug.cluster.dispatch.call_outcome import ATTEMPT_HEADER, SEAL_HEADER
@@ -182,6 +184,18 @@
     assert edge.outcome(message) == "done"
 
 
+@given(
+    prefixes=st.lists(st.text("ab/", max_size=4).map(lambda text: f"/{text}"), unique=True, max_size=6),
+    path=st.text("ab/", max_size=6).map(lambda text: f"/{text}"),
+)
+def test_the_longest_prefix_of_a_path_gives_its_route(prefixes: list[str], path: str) -> None:
+    found = table(1, *(route(prefix, "alpha") for prefix in prefixes)).match(
+        f"{HOST.upper()}:8263", f"{path}?b"
+    )
+    expected = max((prefix for prefix in prefixes if path.startswith(prefix)), key=len, default=None)
+    assert (found.prefix if found is not None else None) == expected
+
+
 @pytest.mark.usefixtures("suppressed_logs")
 @pytest.mark.parametrize("seed", [2, 3, 17])
 def test_days_on_which_names_of_routes_change_break_no_invariant(seed: int) -> None:
