Soak: change the names of routes while delayed messages wait

Change: beside the faults, versions that rename routes, swap their names and lend a name to a spare path; three messages in ten are delayed by up to 1.5 s. A run at the service of another path is a failure, in `try` too.

--- a/amberlug/cluster/local_deployment/fake_endpoint.py
+++ b/amberlug/cluster/local_deployment/fake_endpoint.py
@@ -6,7 +6,7 @@
 import json
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from result import Ok
@@ -33,6 +33,8 @@
     ended_at: float = 0.0
     status: int = 0  # 0 while it is running
     receipt: str = ""
+    service: str = field(kw_only=True)  # of the endpoint
+    target: str = field(kw_only=True)
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +146,8 @@
         loop = asyncio.get_running_loop()
         self._busy_slots += 1
         attempt_id = request.header("amberlug-attempt-id") or ""
-        run = Run(attempt_id, request.header("amberlug-sequence-key") or "", loop.time())
+        sequence_key = request.header("amberlug-sequence-key") or ""
+        run = Run(attempt_id, sequence_key, loop.time(), service=self.settings.service, target=request.target)
         self.runs.append(run)
         loop.call_later(self.settings.work_s, self._end_run, run, request, respond)
 
--- a/amberlug/cluster/local_deployment/soak.py
+++ b/amberlug/cluster/local_deployment/soak.py
@@ -1,10 +1,11 @@
 """`python -m amberlug.cluster soak`: real processes under overlapping random faults.
 
-While messages are sent, processes are killed and paused, links between machines are cut, replies are lost
-and one storage node loses its disk. Then all faults are healed, all processes are killed at the same time,
-another disk is lost, and each storage node in turn is paused while every message is looked up. Throughout, no
-accepted message may be unknown to an edge node, no message that was reported as ended may be reported as
-pending, and no node may count or log an invariant violation.
+While messages are sent, processes are killed and paused, links between machines are cut, replies are lost,
+one storage node loses its disk, and the names of routes change. Then all faults are healed, all processes
+are killed at the same time, another disk is lost, and each storage node in turn is paused while every message
+is looked up. Throughout, no accepted message may be unknown to an edge node, no message that was reported as
+ended may be reported as pending, no message may run at the service of another path, and no node may count or
+log an invariant violation.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 from amberlug.cluster.local_deployment.deployment import READY_TIMEOUT_S, Deployment, Machine
 from amberlug.cluster.local_deployment.faulty_process import NetworkFaults
 from amberlug.cluster.local_deployment.http_call import HttpCall, send_call
+from amberlug.cluster.local_deployment.route_changes import RouteNameChanger
 from amberlug.cluster.local_deployment.trial import (
     END_TIMEOUT_S,
     MAX_CONCURRENT_LOOKUPS,
@@ -34,6 +36,9 @@
 FAULT_DURATION_RANGE_S = (0.2, 2.5)  # duration of one fault
 FAULT_INTERVAL_RANGE_S = (0.1, 1.0)  # pause between two faults of one sequence
 LOST_REPLIES_RANGE = (0.02, 0.2)  # fraction of replies that are lost during such a fault
+ROUTE_CHANGE_INTERVAL_RANGE_S = (0.2, 1.0)  # pause between two changes of the routes' names
+DELAYED_MESSAGES = 0.3  # fraction of the messages that are delayed
+MAX_DELAY_MS = 1500
 LOOKUP_INTERVAL_S = 0.02  # between lookups while messages are sent
 HEAL_TIMEOUT_S = 20.0  # for all nodes to rejoin, and the roster to be complete
 UNKNOWN_STATUSES = (404, 410)
@@ -70,7 +75,7 @@
         deadline = self._time() + self.load.duration_s
         fault_sequences = [self._inject_fault_sequence(deadline) for _ in range(FAULT_SEQUENCES)]
         polling = asyncio.create_task(self._poll_accepted_messages())
-        await asyncio.gather(self._erase_random_disk(), *fault_sequences)
+        await asyncio.gather(self._erase_random_disk(), self._change_route_names(deadline), *fault_sequences)
         polling.cancel()
         await self._wait_until_healed()
 
@@ -85,6 +90,16 @@
             await self.rng.choice(faults)()
             await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL_RANGE_S))
 
+    async def _change_route_names(self, deadline: float) -> None:
+        changer = RouteNameChanger(self.rng, self.deployment.control_addresses)
+        while self._time() < deadline:
+            await changer.change()
+            await asyncio.sleep(self.rng.uniform(*ROUTE_CHANGE_INTERVAL_RANGE_S))
+        self.report_progress(f"the names of routes changed in {changer.acknowledged_changes} versions")
+
+    def _draw_delay_ms(self) -> int:
+        return self.rng.randrange(1, MAX_DELAY_MS) if self.rng.random() < DELAYED_MESSAGES else 0
+
     def _pick_machine(self, machine_class: str = "") -> Machine | None:
         """Pick a machine without a fault, but not the last such machine of its class."""
         machines = self.deployment.machines.values()
--- a/amberlug/cluster/local_deployment/trial.py
+++ b/amberlug/cluster/local_deployment/trial.py
@@ -141,7 +141,7 @@
         service = list(SERVICES)[number % len(SERVICES)]
         key = f"thing-{self.rng.randrange(SEQUENCE_KEYS)}" if SERVICES[service] else ""
         is_unprocessable = number % UNPROCESSABLE_INTERVAL == UNPROCESSABLE_INTERVAL - 1
-        message = SentMessage(key, is_unprocessable)
+        message = SentMessage(key, is_unprocessable, delay_ms=self._draw_delay_ms())
         self.report.sent.append(message)
         body = (UNPROCESSABLE_PREFIX if is_unprocessable else b"") + secrets.token_bytes(BODY_BYTES)
         deadline = self._time() + CLIENT_TIMEOUT_S
@@ -151,6 +151,10 @@
             call = HttpCall("POST", f"/{service}/{number}", _submission_headers(message), body, HOST)
             await self._apply_response(message, await send_call(front, call))
 
+    def _draw_delay_ms(self) -> int:
+        """Draw the delay of a message; 0 for none."""
+        return 0
+
     async def _apply_response(self, message: SentMessage, sent: Result[Reply, RequestFailure]) -> None:
         """Record the result of an attempt; after a rejection, wait before the next one."""
         if isinstance(sent, Ok) and sent.ok_value.status == 202:
@@ -203,8 +207,12 @@
 
 
 def _submission_headers(message: SentMessage) -> Headers:
-    headers = (("Amberlug-Attempt-Id", message.attempt_id), ("Amberlug-Time-Remaining", "1500"))
-    return (*headers, ("Amberlug-Sequence-Key", message.sequence_key)) if message.sequence_key else headers
+    headers = [("Amberlug-Attempt-Id", message.attempt_id), ("Amberlug-Time-Remaining", "1500")]
+    if message.sequence_key:
+        headers.append(("Amberlug-Sequence-Key", message.sequence_key))
+    if message.delay_ms:
+        headers.append(("Amberlug-Not-Before", str(message.delay_ms)))
+    return tuple(headers)
 
 
 def _is_rejection(sent: Result[Reply, RequestFailure]) -> bool:
--- a/amberlug/cluster/local_deployment/trial_report.py
+++ b/amberlug/cluster/local_deployment/trial_report.py
@@ -32,6 +32,7 @@
     is_outcome_unknown: bool = False
     condition: str = PENDING
     receipt: str = ""
+    delay_ms: int = 0  # after arrival, before which it is not delivered
 
 
 @dataclass(slots=True)
@@ -57,7 +58,7 @@
             failures += _outcome_failures(message, runs.get(message.attempt_id, ()))
         if not accepted:
             failures.append("no message was accepted")
-        return [*failures, *_order_failures(accepted, runs)]
+        return [*failures, *_order_failures(accepted, runs), *_route_failures(self.runs)]
 
     def figures(self) -> Json:
         """The summary as a JSON object, with the keys that the command prints."""
@@ -113,6 +114,13 @@
                     yield f"{message.name}: began before {earlier.name} with the same key had ended"
 
 
+def _route_failures(runs: Sequence[Run]) -> Iterator[str]:
+    """Find runs at a service that no configuration gives for their path, which names its service."""
+    for run in runs:
+        if not run.target.startswith(f"/{run.service}/"):
+            yield f"{run.attempt_id}: {run.target} ran at {run.service}"
+
+
 def _percentiles_ms(durations_s: Sequence[float]) -> dict[str, float | None]:
     ranked = sorted(durations_s)
     if not ranked:
--- a/tests/cluster/test_admin.py
+++ b/tests/cluster/test_admin.py
@@ -5,6 +5,7 @@
 import random
 import threading
 from collections.abc import Callable, Iterator
+from functools import partial
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
@@ -504,19 +505,29 @@
 
 # -- a trial
 
+weigh_run = partial(Run, service="weigh", target="/weigh/1")
 FIRST_MESSAGE = SentMessage("k", False, 1.0, "a", "1-a", 1.1, condition="completed", receipt="z")
 SECOND_MESSAGE = SentMessage("k", False, 1.2, "b", "1-b", 1.3, condition="completed", receipt="y")
-RUNS = [Run("a", "k", 1.1, 1.2, 200, "z"), Run("b", "k", 1.3, 1.4, 200, "y")]
+RUNS = [weigh_run("a", "k", 1.1, 1.2, 200, "z"), weigh_run("b", "k", 1.3, 1.4, 200, "y")]
 REPORT_CASES: list[tuple[list[SentMessage], list[Run], list[str]]] = [
     ([FIRST_MESSAGE, SECOND_MESSAGE], RUNS, []),
     ([], [], ["no message"]),
     ([SentMessage("", False, 1.0, "a", "1-a", 1.1)], [], ["1-a: accepted, but pending"]),
-    ([FIRST_MESSAGE], [Run("a", "k", 1.1, 1.2, 200, "other")], ["1-a: completed with the seal"]),
-    ([SentMessage("", True, 1.0, "a", "1-a", 1.1, condition="failed")], [Run("a", "", 1.1, 1.2, 422)], []),
+    ([FIRST_MESSAGE], [weigh_run("a", "k", 1.1, 1.2, 200, "other")], ["1-a: completed with the seal"]),
+    (
+        [SentMessage("", True, 1.0, "a", "1-a", 1.1, condition="failed")],
+        [weigh_run("a", "", 1.1, 1.2, 422)],
+        [],
+    ),
     ([SentMessage("", True, 1.0, "a", "1-a", 1.1, condition="failed")], [], ["1-a: unprocessable, but"]),
+    (
+        [FIRST_MESSAGE],
+        [weigh_run("a", "k", 1.1, 1.2, 200, "z", service="clear")],
+        ["a: /weigh/1 ran at clear"],
+    ),
     (
         [FIRST_MESSAGE, SECOND_MESSAGE],
-        [Run("a", "k", 1.1, 1.35, 200, "z"), RUNS[1]],
+        [weigh_run("a", "k", 1.1, 1.35, 200, "z"), RUNS[1]],
         ["1-b: began before 1-a"],
     ),
 ]
