--- a/amberlug/cluster/local_deployment/route_changes.py
+++ b/amberlug/cluster/local_deployment/route_changes.py
@@ -9,7 +9,7 @@
 
 from result import Ok
 
-from amberlug.cluster.interfaces import Json
+from amberlug.cluster.control.state_entries import ConfigDocument
 from amberlug.cluster.local_deployment.deployment import SERVICES
 from amberlug.cluster.local_deployment.http_call import HttpCall, send_call
 
@@ -33,7 +33,7 @@
         call = HttpCall("POST", "/-/Configuration.Replace", headers, json.dumps(config).encode())
         self.acknowledged_changes += await self._call(call) is not None
 
-    async def _call(self, call: HttpCall) -> Json | None:
+    async def _call(self, call: HttpCall) -> ConfigDocument | None:
         """Call any control-plane node.
 
         :returns: the body of its response; None unless the status is 200.
@@ -41,11 +41,11 @@
         sent = await send_call(self._rng.choice(self._control_addresses), call)
         if not isinstance(sent, Ok) or sent.ok_value.status != 200:
             return None
-        body: Json = json.loads(sent.ok_value.body or b"{}")
+        body: ConfigDocument = json.loads(sent.ok_value.body or b"{}")
         return body
 
 
-def with_changed_names(config: Json, rng: random.Random) -> Json:
+def with_changed_names(config: ConfigDocument, rng: random.Random) -> ConfigDocument:
     """The next edition of a configuration, in which routes are renamed, swap names or reuse a name."""
     changed = deepcopy(config)
     changed["edition"] += 1
