Handover: wait for a previous owner's call as long as it can run, not 4 s

Cause: the new owner of a shard waited PREVIOUS_CALL_TIMEOUT_S = 4.0 s for the report of a call's end, whatever the route's timeout was, and called the message while the first call ran.

Change: a handover tells how long each call can still run (new wire field `calls`; earlier versions ignore it, and theirs count as 4 s). The owner waits that long, connected or not, and then reads the stored outcome before it calls. An owner that has not handed over in time counts as calling the shard's messages until its route's timeout; a late handover is applied. One check where a message is dispatched covers calls here and at other nodes. The tracking of calls and the sending of handovers leave shard_owner.py for handover.py and remote_calls.py.

--- a/amberlug/cluster/dispatch/dispatcher.py
+++ b/amberlug/cluster/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 from amberlug.cluster.dispatch.endpoint_pool import Endpoint, EndpointPool
 from amberlug.cluster.dispatch.message import Message
 from amberlug.cluster.interfaces import (
+    CONNECT_TIMEOUT_S,
     CallResult,
     CallVerdict,
     EndpointCall,
@@ -38,6 +39,14 @@
 _SETTINGS = settings([_MESSAGE], slots=MAX_CALLS)  # `quota_share` accounts for other edges
 
 
+def longest_call_s(timeout_s: float) -> float:
+    """The longest time, in seconds, from the start of a call to its result.
+
+    :param timeout_s: the time that the endpoint has to respond.
+    """
+    return CONNECT_TIMEOUT_S + timeout_s + TIMEOUT_SLACK_S
+
+
 @dataclass(slots=True, eq=False)
 class InFlightCall:
     """A call in progress."""
@@ -153,6 +162,7 @@
             message.body,
             timeout_s + TIMEOUT_SLACK_S,
         )
+        message.call_ends_by = self._runtime.now() + longest_call_s(timeout_s)
         self._endpoints.call(endpoint_call, lambda result: self._on_result(call, result))
 
     def _headers(self, message: Message, endpoint: Endpoint, timeout_s: float) -> Headers:
@@ -170,6 +180,7 @@
         """Convert a call's reserved unit to a consumed one, dated at the start of the call."""
         del self.calls[call]
         del self._account.reserved[call]
+        call.message.call_ends_by = None
         call.endpoint.calls_in_flight -= 1
         is_answered = result.verdict is CallVerdict.ANSWERED
         was_executed = is_answered and result.header(NOT_EXECUTED_HEADER) is None
--- a/amberlug/cluster/dispatch/endpoint_client.py
+++ b/amberlug/cluster/dispatch/endpoint_client.py
@@ -8,10 +8,9 @@
 from dataclasses import dataclass, field
 
 from amberlug.cluster.dispatch.call_outcome import ATTEMPT_HEADER, SEAL_HEADER
-from amberlug.cluster.interfaces import CallResult, CallVerdict, EndpointCall
+from amberlug.cluster.interfaces import CONNECT_TIMEOUT_S, CallResult, CallVerdict, EndpointCall
 from amberlug.http.link import ConnectionLostError, OutgoingConnection, Reply, dial
 
-CONNECT_TIMEOUT_S = 0.7
 MAX_IDLE_PER_ENDPOINT = 8
 IDLE_TIMEOUT_S = 4.0  # if the endpoint names none; below the common server default of 5 s
 IDLE_MARGIN_S = 0.4  # closed this long before the endpoint does, to avoid racing with its close
--- a/amberlug/cluster/dispatch/message.py
+++ b/amberlug/cluster/dispatch/message.py
@@ -46,7 +46,8 @@
     keep_until: float = 0.0  # the earliest time at which its outcome may be deleted
     failures: int = 0  # number of failed attempts
     call_count: int = 0
-    in_flight: bool = False  # a call is in flight, here or at the previous owner
+    in_flight: bool = False  # it is not to be called now: a call is in flight, here or at another edge
+    call_ends_by: float | None = None  # when the call that is in flight here ends at the latest; monotonic
     ended: bool = False
     route: Route | None = None  # by the newest configuration here; None if that has none for it
     outcome: MessageOutcome = OPEN
--- a/amberlug/cluster/dispatch/messages.py
+++ b/amberlug/cluster/dispatch/messages.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
-from typing import ClassVar
+from typing import Any, ClassVar
 
 from amberlug.cluster.dispatch.message import Message
 from amberlug.cluster.interfaces import Json
@@ -13,6 +14,8 @@
 from amberlug.cluster.storage.outcomes import MessageMetadata, MessageOutcome
 from amberlug.cluster.values import value
 
+MS_PER_S = 1000
+
 
 class AdmissionOutcome(Enum):
     """The result of submitting a message to a shard's owner. The values are part of the wire format."""
@@ -86,61 +89,115 @@
         return cls(body["id"], body["shard"], body["meta"], payload)
 
 
+@value
+class CallInFlight:
+    """A call of a message whose shard has another owner than the caller.
+
+    Earlier versions send only the id of the message.
+
+    :param caller: the address of the node that makes the call; empty if that is the sender.
+    :param remaining_s: the longest time for which the call can still run; None if it is not known.
+    :param epoch: of the owner that the call is reported to; 0 if it is not known.
+    """
+
+    message_id: str
+    caller: str = ""
+    remaining_s: float | None = None
+    epoch: int = 0
+
+    def details_to_wire(self) -> list[Any]:
+        """Encode all but the id; the time is rounded up to milliseconds."""
+        assert self.remaining_s is not None, "the duration of the call is not known"
+        return [self.caller, math.ceil(self.remaining_s * MS_PER_S), self.epoch]
+
+    @classmethod
+    def details_from_wire(cls, message_id: str, details: list[Any]) -> CallInFlight:
+        """Decode a call from its id and the result of `details_to_wire`."""
+        caller, remaining_ms, epoch = details
+        return cls(message_id, str(caller), remaining_ms / MS_PER_S, epoch)
+
+
 @value
 class Handover(Notification):
-    """Reports calls in flight and recent outcomes from the previous owner of shards to the new one."""
+    """Reports calls in flight and recent outcomes to the new owner of shards.
+
+    A previous owner hands shards over with it. Without shards, it reports further calls of messages whose
+    shard the recipient owns.
+    """
 
     wire_tag: ClassVar[str] = "handover"
-    epochs: dict[int, int]  # by shard: the epoch of its new owner
-    in_flight: tuple[str, ...]  # ids of messages with a call in flight at the previous owner
+    epochs: dict[int, int]  # by shard that is handed over: the epoch of its new owner
+    in_flight: tuple[CallInFlight, ...]
     ended: tuple[Acknowledgement, ...]  # outcomes that some storage node has not acknowledged
 
     def to_wire(self) -> Json:
         """Encode the fields; shard numbers become strings because they are JSON object keys."""
-        return {
+        body: Json = {
             "shards": {str(shard): epoch for shard, epoch in self.epochs.items()},
-            "out": list(self.in_flight),
+            "out": [call.message_id for call in self.in_flight],
             "ended": [acknowledgement.to_wire() for acknowledgement in self.ended],
         }
+        if self.in_flight and all(call.remaining_s is not None for call in self.in_flight):
+            body["calls"] = [call.details_to_wire() for call in self.in_flight]
+        return body
 
     @classmethod
     def from_wire(cls, body: Json, payload: bytes) -> Handover:
-        """Decode the handover.
+        """Decode the handover; earlier versions send no details of calls.
 
         :raises KeyError: if a field is missing.
         """
+        ids = body["out"]
+        if "calls" in body:
+            calls = tuple(map(CallInFlight.details_from_wire, ids, body["calls"]))
+        else:
+            calls = tuple(map(CallInFlight, ids))
         return cls(
             {int(shard): epoch for shard, epoch in body["shards"].items()},
-            tuple(body["out"]),
+            calls,
             tuple(Acknowledgement.from_wire(row) for row in body["ended"]),
         )
 
 
 @value
 class CallEnded(Notification):
-    """Reports to the new owner of a shard that a call at the previous owner has ended."""
+    """Reports to the owner of a shard that a call at another node has ended.
+
+    :param outcome: open if the message is to be retried.
+    :param is_failure: whether the call counts as a failed attempt.
+    :param caller: the address of the node that made the call; empty if that is the sender.
+    :param epoch: of the owner that it is reported to; 0 if it is not known.
+    """
 
     wire_tag: ClassVar[str] = "outcome"
     message_id: str
-    outcome: MessageOutcome  # open if the message is to be retried
-    is_failure: bool  # the call counts as a failed attempt
+    outcome: MessageOutcome
+    is_failure: bool
+    caller: str = ""
+    epoch: int = 0
 
     def to_wire(self) -> Json:
-        """Encode the fields in wire order."""
-        return {
+        """Encode the fields in wire order; `by` and `epoch` only if they are known."""
+        body: Json = {
             "id": self.message_id,
             "end": self.outcome.status,
             "seal": self.outcome.receipt,
             "failed": self.is_failure,
         }
+        if self.caller:
+            body["by"] = self.caller
+        if self.epoch:
+            body["epoch"] = self.epoch
+        return body
 
     @classmethod
     def from_wire(cls, body: Json, payload: bytes) -> CallEnded:
-        """Decode the notification.
+        """Decode the notification; earlier versions send neither `by` nor `epoch`.
 
         :raises KeyError: if a field is missing.
         """
-        return cls(body["id"], MessageOutcome(body["end"], body["seal"]), body["failed"])
+        outcome = MessageOutcome(body["end"], body["seal"])
+        return cls(body["id"], outcome, body["failed"], body.get("by", ""), body.get("epoch", 0))
 
 
 @value
--- a/amberlug/cluster/dispatch/shard_owner.py
+++ b/amberlug/cluster/dispatch/shard_owner.py
@@ -1,4 +1,4 @@
-"""Ownership of shards by this edge: recovery, handover, and admission of messages. No I/O."""
+"""Ownership of shards by this edge: gain, recovery and loss of shards, admission of messages. No I/O."""
 
 from __future__ import annotations
 
@@ -10,18 +10,20 @@
 from absl import logging
 
 from amberlug.cluster.control.published_state import ShardTable, TableOwner
+from amberlug.cluster.dispatch.handover import (
+    DeliveryCallbacks,
+    LocalOwner,
+    ShardHandover,
+)
 from amberlug.cluster.dispatch.message import Message, SequencePosition
-from amberlug.cluster.dispatch.messages import AdmissionOutcome, CallEnded, Handover
-from amberlug.cluster.dispatch.previous_owners import PreviousOwners, evict_oldest
+from amberlug.cluster.dispatch.messages import AdmissionOutcome, CallEnded
+from amberlug.cluster.dispatch.remote_calls import evict_oldest
 from amberlug.cluster.dispatch.replica_write import ReplicationOutcome
 from amberlug.cluster.dispatch.replicator import Replicator
 from amberlug.cluster.dispatch.shard_recovery import ShardRecovery
 from amberlug.cluster.interfaces import Runtime
-from amberlug.cluster.rpc.messages import Responder, handles, send
 from amberlug.cluster.storage.outcomes import MessageOutcome
-from amberlug.cluster.values import value
 
-PREVIOUS_CALL_TIMEOUT_S = 4.0  # after which a message in flight at the previous owner is called here
 MAX_QUEUED_PER_SHARD = 4000  # messages waiting for the recovery of a shard
 
 AdmissionCallback = Callable[[AdmissionOutcome], None]
@@ -53,45 +55,27 @@
     unread_disks: frozenset[str] = frozenset()  # disks that were not read by the recovery
 
 
-@value
-class DeliveryCallbacks:
-    """Callbacks to the component that delivers the messages of owned shards.
-
-    :param admit: starts delivering a message.
-    :param release: stops delivering the messages of a shard and returns them.
-    :param call_ended: applies the end of a previous owner's call to a message that is admitted here.
-    :param is_admitted: whether a message is being delivered or is known to have ended.
-    :param is_safe: whether an admitted message, or its outcome, is on enough disks.
-    """
-
-    admit: Callable[[Message], None]
-    release: Callable[[int], list[Message]]
-    call_ended: Callable[[CallEnded], None]
-    is_admitted: Callable[[str], bool]
-    is_safe: Callable[[str], bool]
-
-
 class ShardOwner:
     """The shards that one edge owns according to the shard table.
 
     Invariant: a message is acknowledged as admitted only after enough replicas of it are durable, written
     with this edge's epoch as the shard's owner.
 
-    :param node_id: this edge's id in the shard table.
+    :param local: this edge's id in the shard table, and its address.
     """
 
     def __init__(
-        self, runtime: Runtime, replicator: Replicator, node_id: str, delivery: DeliveryCallbacks
+        self, runtime: Runtime, replicator: Replicator, local: LocalOwner, delivery: DeliveryCallbacks
     ) -> None:
-        self._runtime, self._replicator, self._node_id = runtime, replicator, node_id
+        self._runtime, self._replicator, self._node_id = runtime, replicator, local.node_id
         self._delivery = delivery
+        self.handover = ShardHandover(runtime, replicator, local, delivery, self._continue_recoveries)
         self.owned: dict[int, Shard] = {}
         self.table = ShardTable()
         self.pending_writes: dict[str, list[AdmissionCallback]] = {}  # by message
         self.write_started_at: dict[str, float] = {}  # by message; monotonic clock
         # Disks that may have a replica of a message that was not admitted, by message.
         self._unadmitted_replicas: dict[str, set[str]] = {}
-        self._previous_owners = PreviousOwners()
         self._recoveries: list[ShardRecovery] = []
 
     @property
@@ -127,99 +111,56 @@
         """Apply a newer shard table: hand over lost shards and recover gained ones."""
         self.table = table
         epochs = self.table.epochs_of(self._node_id)
-        gained = {
-            shard: epoch
-            for shard, epoch in epochs.items()
-            if shard not in self.owned or self.owned[shard].epoch != epoch
-        }
+        gained = {shard: epoch for shard, epoch in epochs.items() if not self.owns(shard, epoch)}
         lost = sorted(shard for shard in self.owned if shard not in epochs)
+        if lost:
+            logging.info("%d shards lost to other owners", len(lost))
+        for shard in lost:
+            self._lose(shard)
         for shard, epoch in gained.items():
             self._gain(shard, epoch)
-        if lost:
-            self._send_handovers(lost)
+        self.handover.update_table(table, lost)
         if gained:
             logging.info("%d shards gained, %d owned", len(gained), len(self.owned))
             self._recover(gained)
 
-    def _gain(self, shard: int, epoch: int) -> None:
-        previous = self.table.previous_owner_of(shard)
-        address = previous.address if previous is not None and previous.node_id != self._node_id else ""
-        queued = self.owned[shard].queued if shard in self.owned else []
-        self.owned[shard] = Shard(epoch, address, queued=queued)
-
-    # -- handover to the next owner
-
-    def _send_handovers(self, lost: list[int]) -> None:
-        """Release shards, and report to each new owner the calls in flight in its shards."""
-        logging.info("%d shards lost to other owners", len(lost))
-        unacknowledged = self._replicator.unacknowledged_outcomes()
-        in_flight = {shard: self._release(shard) for shard in lost}
-        for address, shards in self._by_owner_address(lost).items():
-            epochs = {shard: self.table.rows[shard].epoch for shard in shards}
-            calls = tuple(message_id for shard in shards for message_id in in_flight[shard])
-            ended = tuple(outcome for outcome in unacknowledged.values() if outcome.shard in epochs)
-            send(self._runtime, address, Handover(epochs, calls, ended))
-
-    def _release(self, shard: int) -> list[str]:
-        """Give up a shard.
-
-        :returns: the ids of its messages with a call in flight here.
-        """
-        for queued in self.owned.pop(shard).queued:
+    def _lose(self, number: int) -> None:
+        self._release(number)
+        for queued in self.owned.pop(number).queued:
             queued.on_complete(AdmissionOutcome.NOT_OWNER)
-        return [message.id for message in self._delivery.release(shard) if message.in_flight]
-
-    def _by_owner_address(self, shards: list[int]) -> dict[str, list[int]]:
-        """Group shards by the address of their owner; shards without an owner are omitted."""
-        by_address: dict[str, list[int]] = {}
-        for shard in shards:
-            owner = self.owner_of(shard)
-            if owner is not None:
-                by_address.setdefault(owner.address, []).append(shard)
-        return by_address
-
-    def report_to_new_owner(self, message: Message, outcome: MessageOutcome, is_failure: bool) -> None:
-        """Report the end of a call that was in flight here to the new owner of the message's shard."""
-        owner = self.owner_of(message.shard)
-        if owner is not None:
-            send(self._runtime, owner.address, CallEnded(message.id, outcome, is_failure))
-
-    # -- handover from the previous owner
-
-    @handles(Handover)
-    def on_handover(self, message: Handover, origin: str, respond: Responder) -> None:
-        """Handle the previous owner's report of calls in flight and recent outcomes."""
-        for acknowledgement in message.ended:
-            self._call_ended(CallEnded(acknowledgement.message_id, acknowledgement.outcome, False))
-        self._previous_owners.add_handover(message, origin)
-        self._continue_recoveries()
-        self._previous_owners.evict_handovers()
-
-    @handles(CallEnded)
-    def on_outcome(self, message: CallEnded, origin: str, respond: Responder) -> None:
-        """Handle the previous owner's report of the end of a call."""
-        self._call_ended(message)
-
-    def _call_ended(self, ended: CallEnded) -> None:
-        was_expected = self._previous_owners.remove_call(ended.message_id)
-        if not self._delivery.is_admitted(ended.message_id):
-            self._previous_owners.add_early_end(ended)
-        elif was_expected or not ended.outcome.is_open:
-            # A late report that is no longer awaited must not make the message callable again: a call of it
-            # may be in flight here by now.
-            self._delivery.call_ended(ended)
-
-    def _previous_call_timed_out(self, message_id: str) -> None:
-        if self._previous_owners.has_call(message_id):
-            self._call_ended(CallEnded(message_id, MessageOutcome(), False))
+
+    def _release(self, number: int) -> None:
+        """Stop delivering the messages of a shard; calls that are in flight here continue."""
+        epoch = self.owned[number].epoch
+        for message in self._delivery.release(number):
+            if message.call_ends_by is not None:
+                self.handover.call_released(message, epoch)
+
+    def _gain(self, number: int, epoch: int) -> None:
+        previous = self.table.previous_owner_of(number)
+        address = previous.address if previous is not None and previous.node_id != self._node_id else ""
+        queued: list[QueuedAdmission] = []
+        if number in self.owned:  # in an earlier epoch: another edge may have owned it since
+            self._release(number)
+            queued = self.owned[number].queued
+        self.owned[number] = Shard(epoch, address, queued=queued)
+
+    # -- calls of other edges
+
+    def may_be_called(self, message_id: str) -> bool:
+        """Whether no call of the message can still run at another edge, as far as is known."""
+        return self.handover.may_be_called(message_id)
+
+    def report_end(self, message: Message, outcome: MessageOutcome, is_failure: bool) -> None:
+        """Report the end of a call that was in flight here to the present owner of the message's shard."""
+        self.handover.report_end(message, outcome, is_failure)
 
     def connection_lost(self, address: str) -> None:
-        """Stop waiting for reports from a process that has ended."""
+        """Stop waiting for reports from a process that may have ended."""
         for shard in self.owned.values():
             if shard.previous_owner == address:
                 shard.previous_owner = ""
-        for message_id in self._previous_owners.calls_at(address):
-            self._call_ended(CallEnded(message_id, MessageOutcome(), False))
+        self.handover.connection_lost(address)
         self._continue_recoveries()
 
     # -- recovery
@@ -243,12 +184,12 @@
 
     def awaits_handover(self, shard: int, epoch: int) -> bool:
         """Whether the shard is owned and its previous owner, which is up, has not handed it over yet."""
-        has_previous_owner = shard in self.owned and bool(self.owned[shard].previous_owner)
-        return has_previous_owner and not self.has_handover(shard, epoch)
+        previous_owner = self.owned[shard].previous_owner if shard in self.owned else ""
+        return bool(previous_owner) and not self.handover.has_received(shard, epoch, previous_owner)
 
     def has_handover(self, shard: int, epoch: int) -> bool:
-        """Whether the previous owner has handed the shard over for that epoch."""
-        return self._previous_owners.has_handover(shard, epoch)
+        """Whether an earlier owner has handed the shard over for that epoch."""
+        return self.handover.has_received(shard, epoch)
 
     def recovered(self, recovery: ShardRecovery) -> None:
         """Admit the recovered open messages in the order of their positions, then serve the shards."""
@@ -262,34 +203,26 @@
             if self.owns(number, epoch)
         }
         unread_disks = recovery.unread_disks
-        in_flight: dict[str, str] = {}
-        for number, shard in shards.items():
-            in_flight.update(self._previous_owners.pop_handover(number, shard.epoch))
         for message in sorted(recovery.open_messages.values(), key=lambda message: message.position):
             if message.shard in shards and not self._delivery.is_admitted(message.id):
                 message.possible_holders |= unread_disks
-                self._admit_recovered(message, in_flight.get(message.id))
+                self._admit_recovered(message, shards[message.shard])
         for number, shard in shards.items():
             self._serve(number, shard, unread_disks)
 
-    def _admit_recovered(self, message: Message, caller: str | None) -> None:
-        """Deliver a recovered message unless it has ended meanwhile.
-
-        :param caller: the address of the previous owner if it has a call of the message in flight.
-        """
-        ended = self._previous_owners.pop_early_end(message.id)
-        if ended is not None and not ended.outcome.is_open:
-            # The previous owner may stop before it has recorded the outcome on enough storage nodes.
-            self._replicator.record_outcome(message, ended.outcome)
-            self._delivery.call_ended(CallEnded(message.id, ended.outcome, False))
-            return
-        if ended is not None:
+    def _admit_recovered(self, message: Message, shard: Shard) -> None:
+        """Deliver a recovered message unless it has ended meanwhile."""
+        for ended in self.handover.pop_early_ends(message.id):
+            if not ended.outcome.is_open:
+                # The previous owner may stop before it has recorded the outcome on enough storage nodes.
+                self._replicator.record_outcome(message, ended.outcome)
+                self.handover.forget_message(message.id)
+                self._delivery.call_ended(ended)
+                return
             message.failures += ended.is_failure
-        elif caller is not None:
-            message.in_flight = True
-            self._previous_owners.add_call(message.id, caller)
-            on_timeout = partial(self._previous_call_timed_out, message.id)
-            self._runtime.call_later(PREVIOUS_CALL_TIMEOUT_S, on_timeout)
+        if self.awaits_handover(message.shard, shard.epoch):
+            self.handover.presume_call(message, shard.previous_owner, shard.epoch)
+        message.in_flight = not self.may_be_called(message.id)
         self._delivery.admit(message)
 
     def _serve(self, number: int, shard: Shard, unread_disks: frozenset[str]) -> None:
--- a/amberlug/cluster/dispatch/shard_recovery.py
+++ b/amberlug/cluster/dispatch/shard_recovery.py
@@ -15,6 +15,7 @@
 
 from result import Err, Ok, Result
 
+from amberlug.cluster.dispatch.handover import HANDOVER_TIMEOUT_S
 from amberlug.cluster.dispatch.message import Message, SequencePosition
 from amberlug.cluster.dispatch.replicator import Replicator
 from amberlug.cluster.interfaces import RequestFailure, Runtime
@@ -30,7 +31,6 @@
 
 FENCE_TIMEOUT_S = 0.6  # the storage node reads its open messages with their bodies for the reply
 FENCE_RETRY_S = 0.25  # before the next request to storage nodes that did not reply
-HANDOVER_TIMEOUT_S = 0.6  # for a previous owner that is up to report its calls in flight
 HANDOVER_CHECKS = 6  # how often the handover is checked for in that time
 
 
--- a/amberlug/cluster/edge/delivery.py
+++ b/amberlug/cluster/edge/delivery.py
@@ -8,16 +8,17 @@
 
 from amberlug.cluster.dispatch.call_outcome import CallOutcome, evaluate_result
 from amberlug.cluster.dispatch.delivery_queue import DeliveryQueue
+from amberlug.cluster.dispatch.handover import DeliveryCallbacks, LocalOwner
 from amberlug.cluster.dispatch.message import Message
 from amberlug.cluster.dispatch.messages import CallEnded
-from amberlug.cluster.dispatch.shard_owner import DeliveryCallbacks, ShardOwner
+from amberlug.cluster.dispatch.shard_owner import ShardOwner
 from amberlug.cluster.edge.context import EdgeContext
 from amberlug.cluster.edge.dispatchers import ServiceDispatchers
-from amberlug.cluster.edge.outcomes import DROPPED, EXPIRED, RecentOutcomes
-from amberlug.cluster.edge.storage_reads import StorageReader
+from amberlug.cluster.edge.outcomes import DROPPED, EXPIRED, NOT_FOUND, RecentOutcomes
+from amberlug.cluster.edge.storage_reads import READ_TIMEOUT_S, OutcomeCallback, StorageReader
 from amberlug.cluster.http.routing import Route
 from amberlug.cluster.interfaces import CallResult, Endpoints
-from amberlug.cluster.storage.outcomes import MessageOutcome
+from amberlug.cluster.storage.outcomes import OPEN, MessageOutcome
 
 SWEEP_INTERVAL_S = 1.0  # between searches for expired messages; retention times are typically hours
 RETENTION_SLACK_S = 0.5  # for the unknown time between sending and arrival of a message
@@ -41,9 +42,17 @@
         self.queue = DeliveryQueue(context.runtime, self._dispatch)
         self.outcomes = RecentOutcomes()
         callbacks = DeliveryCallbacks(
-            self.add, self.release_shard, self._on_call_ended, self._is_admitted, self._is_safe
+            self.add,
+            self.release_shard,
+            self._on_call_ended,
+            self._is_admitted,
+            self._is_safe,
+            self._hold,
+            self._longest_call_s,
+            self._find_outcome,
         )
-        self.shard_owner = ShardOwner(context.runtime, context.replicator, context.session.id, callbacks)
+        local = LocalOwner(context.session.id, context.session.node.address)
+        self.shard_owner = ShardOwner(context.runtime, context.replicator, local, callbacks)
         self.dispatchers = ServiceDispatchers(context, self.shard_owner, endpoints, self._call_finished)
         self.pending_bytes = 0  # of the bodies of the messages in `queue`
         self.under_replicated: dict[str, Message] = {}  # by id: messages with too few replicas
@@ -140,6 +149,9 @@
 
     def _dispatch(self, message: Message) -> None:
         """Dispatch a message that is due and the first of its sequence key."""
+        if self._is_being_called(message):
+            message.in_flight = True
+            return  # `_call_finished` or `_on_call_ended` offers it again
         if self._awaits_configuration(message):
             return  # `apply_routes` offers it again
         if message.route is None:
@@ -151,6 +163,10 @@
         else:
             self.dispatchers.dispatch(message.route.service, message)
 
+    def _is_being_called(self, message: Message) -> bool:
+        """Whether a call of a message can still run, here or at another node."""
+        return message.call_ends_by is not None or not self.shard_owner.may_be_called(message.id)
+
     def _is_expired(self, message: Message, route: Route) -> bool:
         age_s = self._context.runtime.wall_clock() - message.accepted_at
         return age_s > route.retention_s + RETENTION_SLACK_S
@@ -191,9 +207,11 @@
         if not message_outcome.is_open:
             self._context.replicator.record_outcome(message, message_outcome)
             self._remember(message.id, message_outcome)
-        self.shard_owner.report_to_new_owner(message, message_outcome, outcome.is_failure)
+        self.shard_owner.report_end(message, message_outcome, outcome.is_failure)
 
     def _retry(self, message: Message) -> None:
+        if self._is_being_called(message):
+            return  # retried once that call has ended
         if message.id in self.queue.messages and not message.ended:
             message.in_flight = False
             if self._is_dropped(message):
@@ -201,6 +219,31 @@
             else:
                 self.queue.requeue(message)
 
+    # -- calls of other nodes
+
+    def _hold(self, message_id: str) -> None:
+        """Keep a waiting message from being called: another node has a call of it in flight."""
+        message = self.queue.messages.get(message_id)
+        if message is not None and message.call_ends_by is None:
+            self._context.count("calls of other nodes: reported late")
+            message.in_flight = True
+
+    def _longest_call_s(self, message: Message) -> float:
+        """The longest time for which a call of a recovered message can run, in seconds."""
+        self._assign_route(message)
+        return self.dispatchers.longest_call_s(message)
+
+    def _find_outcome(self, message_id: str, on_outcome: OutcomeCallback) -> None:
+        """Read the stored outcome of a message whose call at another node is over without a report."""
+        self._context.count("calls of other nodes: not reported")
+        deadline = self._context.runtime.now() + READ_TIMEOUT_S
+
+        def receive(outcome: MessageOutcome | None) -> None:
+            """Pass the outcome on; a message that is being delivered here has been stored."""
+            on_outcome(OPEN if outcome == NOT_FOUND else outcome)
+
+        self._reader.find_outcome(message_id, deadline, receive)
+
     # -- outcomes and release
 
     def _end(self, message: Message, outcome: MessageOutcome) -> None:
@@ -218,17 +261,17 @@
         self.outcomes.record(message_id, outcome, self._context.runtime.now())
 
     def _on_call_ended(self, ended: CallEnded) -> None:
-        """Apply the result of a call that the previous owner had in flight."""
+        """Apply the result of a call that another node had in flight."""
         message, outcome = self.queue.messages.get(ended.message_id), ended.outcome
         if message is None or message.ended:
             if message is None and not outcome.is_open:
                 self._remember(ended.message_id, outcome)
             return
-        message.in_flight = False
         message.failures += ended.is_failure
         if outcome.is_open:
             self._retry(message)
         else:
+            message.in_flight = False
             self._end(message, outcome)
 
     def apply_stored_outcome(self, message: Message) -> None:
@@ -246,7 +289,7 @@
         for message in released:
             self.queue.drop(message)
             self.pending_bytes -= message.body_bytes
-            if message.in_flight and self.dispatchers.calls_of(message):
+            if message.call_ends_by is not None:
                 self._in_flight_of_released_shards.add(message)
             else:
                 message.in_flight = False
--- a/amberlug/cluster/edge/dispatchers.py
+++ b/amberlug/cluster/edge/dispatchers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from amberlug.cluster.control.published_state import EndpointCondition, PublishedEndpoint
-from amberlug.cluster.dispatch.dispatcher import DispatchCallbacks, Dispatcher, InFlightCall
+from amberlug.cluster.dispatch.dispatcher import DispatchCallbacks, Dispatcher, longest_call_s
 from amberlug.cluster.dispatch.endpoint_pool import EndpointPool
 from amberlug.cluster.dispatch.message import Message
 from amberlug.cluster.dispatch.shard_owner import ShardOwner
@@ -41,18 +41,9 @@
         """Whether a call to an endpoint is in flight."""
         return any(dispatcher.calls for dispatcher in self.by_service.values())
 
-    def calls_of(self, message: Message) -> list[InFlightCall]:
-        """The calls of a message that are in flight.
-
-        They may belong to another service than the message does now, if a new configuration has moved its
-        route since.
-        """
-        return [
-            call
-            for dispatcher in self.by_service.values()
-            for call in dispatcher.calls
-            if call.message is message
-        ]
+    def longest_call_s(self, message: Message) -> float:
+        """The longest time for which a call of a message runs, in seconds."""
+        return longest_call_s(self._call_timeout_s(message))
 
     def dispatch(self, service: str, message: Message) -> None:
         """Queue a due message at the dispatcher of a service."""
--- a/amberlug/cluster/edge/node.py
+++ b/amberlug/cluster/edge/node.py
@@ -63,7 +63,13 @@
         self._intake = Intake(self._context, self.delivery, self.forwarder, AdminApi(self.lookup), history)
         self.handlers = {
             tag: handler
-            for part in (self.lookup, self.forwarder, self.gossip, self.shard_owner, EdgeStatus(self))
+            for part in (
+                self.lookup,
+                self.forwarder,
+                self.gossip,
+                self.shard_owner.handover,
+                EdgeStatus(self),
+            )
             for tag, handler in handlers_of(part).items()
         }
         self._is_leaving = False
--- a/amberlug/cluster/interfaces.py
+++ b/amberlug/cluster/interfaces.py
@@ -101,6 +101,10 @@
         """
 
 
+CONNECT_TIMEOUT_S = 0.7
+"""The time for which a call of an endpoint waits for a new connection."""
+
+
 class CallVerdict(Enum):
     """The result of an endpoint call. The values are historical: recorded simulation runs contain them."""
 
@@ -123,7 +127,7 @@
     :param instance: the endpoint instance (one start of its process) that the call is meant for.
     :param attempt_id: identifies this call among all calls for the message.
     :param headers: the headers of the request as received.
-    :param timeout_s: seconds until the call times out.
+    :param timeout_s: seconds until the call times out, without the time to connect.
     """
 
     address: str
--- a/amberlug/cluster/simulation/mutations.py
+++ b/amberlug/cluster/simulation/mutations.py
@@ -38,6 +38,7 @@
 from amberlug.cluster.simulation import (
     mutations_answers,
     mutations_frames,
+    mutations_handover,
     mutations_losses,
     mutations_outcomes,
     mutations_partitions,
@@ -255,6 +256,7 @@
     **mutations_answers.FAULTS,
     **mutations_outcomes.FAULTS,
     **mutations_routes.FAULTS,
+    **mutations_handover.FAULTS,
 }
 
 
--- a/amberlug/cluster/simulation/mutations_answers.py
+++ b/amberlug/cluster/simulation/mutations_answers.py
@@ -17,9 +17,9 @@
 from amberlug.cluster.control.submitted_commands import SubmittedCommand
 from amberlug.cluster.dispatch.call_outcome import CallOutcome, evaluate_result
 from amberlug.cluster.dispatch.endpoint_client import EndpointClient
+from amberlug.cluster.dispatch.handover import ShardHandover
 from amberlug.cluster.dispatch.message import Message
 from amberlug.cluster.dispatch.messages import Handover
-from amberlug.cluster.dispatch.shard_owner import ShardOwner
 from amberlug.cluster.edge import delivery
 from amberlug.cluster.http.connection import Responder as HttpResponder
 from amberlug.cluster.http.message import Response
@@ -188,14 +188,14 @@
 @contextmanager
 def _out_elsewhere() -> Iterator[None]:
     """A new shard owner calls at once the messages that the former owner has in flight."""
-    handover = ShardOwner.on_handover
+    handover = ShardHandover.on_handover
 
-    def nothing_out(self: ShardOwner, message: Handover, origin: str, respond: Responder) -> None:
+    def nothing_out(self: ShardHandover, message: Handover, origin: str, respond: Responder) -> None:
         """Handle a handover without its list of calls in flight."""
         handover(self, replace(message, in_flight=()), origin, respond)
 
     nothing_out.__dict__.update(handover.__dict__)  # its declared message type
-    with patch.object(ShardOwner, "on_handover", nothing_out):
+    with patch.object(ShardHandover, "on_handover", nothing_out):
         yield
 
 
--- a/amberlug/cluster/simulation/scenarios.py
+++ b/amberlug/cluster/simulation/scenarios.py
@@ -9,6 +9,7 @@
 from unittest.mock import patch
 
 from amberlug.cluster.consensus import log
+from amberlug.cluster.interfaces import Json
 from amberlug.cluster.simulation.clients import Clients, Load
 from amberlug.cluster.simulation.control_faults import PARTITION_FORMS, ControlFaults
 from amberlug.cluster.simulation.deployment import ONE_MACHINE, Deployment
@@ -18,6 +19,7 @@
 from amberlug.cluster.simulation.loss_schedule import LossSchedule, draw_plan
 from amberlug.cluster.simulation.machine import BOUNDS, RESTART_S, Machine
 from amberlug.cluster.simulation.operator import Operator, route, service
+from amberlug.cluster.simulation.stop_series import StopSeries, draw_call_length
 from amberlug.cluster.simulation.storage_faults import StorageFaults
 
 TRAFFIC_S = 3.5  # from the start of the machines until traffic starts
@@ -26,6 +28,7 @@
 CATCH_UP_S = BOUNDS["catchUpS"]  # a machine still counts as lost for this long after it returns
 CONTROL_PARTITION_S = (4.0, 4.4)  # duration of control-plane partitions outside the family `control`
 MAX_ATTEMPTS = 3
+MANY_KEYS = 40  # so that messages with long calls do not wait for others of their key to the end
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,25 +71,34 @@
             rate, delayed = (50.0, 0.7) if plan.backlog else (20.0, 0.1)
             size = self.size = Size(plan.zones, plan.edges, plan.stores, plan.cores, 50.0, rate)
         dedup = rng.random() < 0.4
+        calls = draw_call_length(seed)
         kinds = [
             Kind("alpha", 4, 0.06, False),
             Kind("beta", 4, 0.06, dedup),
             Kind("gamma", 4, 0.05, dedup),
         ]
+        if aim == "handovers":
+            size = self.size = replace(size, edges=max(3, size.edges), seconds=30.0, rate=calls.rate)
+            kinds = [replace(kind, work_s=calls.work_s) for kind in kinds]
         heartbeat = 2.0 if aim == "drain" else rng.choice((1.0, 1.2, 2.0))
         self.deployment = Deployment(
             seed, size.zones, size.edges, size.stores, size.cores, kinds, heartbeat, tolerance, regions
         )
         self.history, self.clock = self.deployment.history, self.deployment.clock
+        self.stop_series = StopSeries(
+            rng, self.clock, self.deployment.edges, lambda machine: self._restart_as_planned(machine)
+        )
         ceiling = 5.0 if aim == "rate" else rng.choice((0.0, 0.0, 8.0))
         paths: tuple[str, ...] = ("/plain/", "/plain/", "/plain/", "/seq/", "/seq/", "/rated/")
         if aim == "rate":
             paths = ("/plain/", "/seq/", "/rated/", "/rated/")
         load = Load(size.rate, paths, frozenset(("/seq/",)), rng.choice((4, 10, 30)), delayed)
+        if aim == "handovers":
+            load = replace(load, keys=MANY_KEYS)
         if aim == "routes":
             load = replace(load, delayed=0.5, extra=0.6)  # many messages wait as the configuration changes
         self.clients = Clients(self.deployment, load)
-        first = {
+        first: Json = {
             "routeTable": [
                 route("/plain/", "alpha"),
                 route("/seq/", "beta", True, rank=0),
@@ -99,6 +111,9 @@
             ],
             "limits": {"maxHeaderBytes": 16384},
         }
+        if aim == "handovers":
+            for row in first["routeTable"]:
+                row["expiryMs"] = calls.expiry_ms
         self.operator = Operator(self.deployment, first)
         self.operator.changes_names = aim == "routes"
         self.compact = log.SNAPSHOT_ENTRIES  # Raft log entries between snapshots
@@ -190,6 +205,7 @@
             "answers": [self._kill_edge, self._restart_edge, self._freeze_edge, self._partition_edge],
             "storage": [lambda: 0.0],
             "control": [lambda: 0.0],
+            "handovers": [self.stop_series.begin],
         }
         others = [
             self._crash_endpoint,
@@ -225,6 +241,8 @@
         if self.aim == "storage":
             others = [*others, self._kill_edge, self._restart_edge, self._freeze_edge]
             self.storage_faults.begin(start, end - 2.0)
+        if self.aim == "handovers":
+            others = [lambda: 0.0]
         if self.aim == "control":
             others = [lambda: 0.0]
             self.control.begin(start, end)
--- a/tests/cluster/fakes.py
+++ b/tests/cluster/fakes.py
@@ -14,11 +14,12 @@
 
 
 class UnresponsiveRuntime:
-    """A runtime on a virtual clock that records requests and never replies to them."""
+    """A runtime on a virtual clock that records notifications and requests, and never replies."""
 
     def __init__(self, clock: Clock) -> None:
         self.clock, self.rng = clock, random.Random(1)
         self.requests: list[tuple[str, str, Json, ReplyCallback]] = []
+        self.sent: list[tuple[str, RawMessage]] = []  # notifications, with the address of the recipient
 
     def now(self) -> float:
         return self.clock.now
@@ -32,7 +33,7 @@
         return timer
 
     def send(self, address: str, message: RawMessage) -> None:
-        pass
+        self.sent.append((address, message))
 
     def request(self, address: str, message: RawMessage, timeout_s: float, on_reply: ReplyCallback) -> None:
         self.requests.append((address, message.tag, message.body, on_reply))
--- a/tests/cluster/test_outcomes.py
+++ b/tests/cluster/test_outcomes.py
@@ -255,7 +255,7 @@
 
 def test_an_end_that_the_previous_owner_handed_over_is_recorded_by_the_new_one() -> None:
     rig = OwnerRig()
-    rig.shard_owner._previous_owners.add_early_end(CallEnded("0-x", DONE, False))
+    rig.shard_owner.handover.on_outcome(CallEnded("0-x", DONE, False), "previous", lambda reply: None)
     rig.reply("fence", {disk: {"open": [OPEN_ROW], "blob": b"hi"} for disk in STORES})
     assert rig.admitted == []
     assert rig.notified_of_outcomes() == ["a", "b", "c"]
--- a/tests/cluster/test_shard_owner.py
+++ b/tests/cluster/test_shard_owner.py
@@ -3,10 +3,11 @@
 from result import Err, Ok
 
 from amberlug.cluster.control.published_state import ShardTable, StorageRoster
+from amberlug.cluster.dispatch.handover import DeliveryCallbacks, LocalOwner
 from amberlug.cluster.dispatch.message import Message
 from amberlug.cluster.dispatch.messages import AdmissionOutcome
 from amberlug.cluster.dispatch.replicator import Replicator
-from amberlug.cluster.dispatch.shard_owner import DeliveryCallbacks, ShardOwner
+from amberlug.cluster.dispatch.shard_owner import ShardOwner
 from amberlug.cluster.interfaces import Json, Reply, RequestFailure
 from amberlug.cluster.settings import Tolerance
 from amberlug.cluster.simulation.clock import Clock
@@ -47,8 +48,11 @@
             lambda ended: None,
             lambda message_id: False,
             lambda message_id: True,
+            lambda message_id: None,
+            lambda message: 1.0,
+            lambda message_id, on_outcome: on_outcome(None),
         )
-        self.shard_owner = ShardOwner(self.runtime, self.replicator, "me", callbacks)
+        self.shard_owner = ShardOwner(self.runtime, self.replicator, LocalOwner("me", "me"), callbacks)
         self.shard_owner.update_table(table_of_one_shard(epoch=7))
 
     def reply(self, wire_tag: str, bodies: dict[str, Json]) -> None:
--- a/tests/cluster/test_simulation_regressions.py
+++ b/tests/cluster/test_simulation_regressions.py
@@ -94,7 +94,9 @@
 def test_a_late_report_of_the_previous_owner_does_not_repeat_a_call() -> None:
     day = Calm(1)
     edge, message = call_in_flight(day)
-    edge.shard_owner.on_outcome(CallEnded(message.id, MessageOutcome(), False), "", lambda reply: None)
+    edge.shard_owner.handover.on_outcome(
+        CallEnded(message.id, MessageOutcome(), False), "", lambda reply: None
+    )
     day.clock.run(day.clock.now + 1.0)
     assert sum(run.attempt == message.attempt_id for run in day.history.runs) == 1
 
@@ -104,4 +106,4 @@
     edge, message = call_in_flight(day)
     assert message.route is not None
     message.route = replace(message.route, service="beta")
-    assert [it.in_flight for it in edge.delivery.release_shard(message.shard)] == [True]
+    assert [it.call_ends_by is not None for it in edge.delivery.release_shard(message.shard)] == [True]
