Handover: pass on calls of earlier owners, over any number of handovers

Cause: a handover named the calls of the node that sent it. The second owner knew of the first one's calls and left them out of its own handover; the third called at once.

Change: calls and early ends that were reported to a node are passed on with the shard; a caller reports its calls to every later owner itself and counts them as its own when it gets the shard back; a shard that was lost before its earlier owner had handed it over is handed over after that; the end of a call is passed on to the present owner, by epoch, so that no report goes in circles.

--- a/amberlug/cluster/dispatch/handover.py
+++ b/amberlug/cluster/dispatch/handover.py
@@ -1,8 +1,13 @@
 """Passes shards, and the calls that are in flight for them, from previous owners to new ones. No I/O.
 
-Invariant: as long as a call of the previous owner can still run, the new owner starts no other one.
-
-- A previous owner reports its calls before the new owner serves, and how long each can still run.
+Invariant: as long as a call of a message can still run, the owner of the message's shard knows of the call
+and starts no other one, however often the shard changes its owner meanwhile. It holds for all owners that get
+the shard from one that is up; a node that is lost leaves nothing behind that tells of its calls.
+
+- A previous owner reports its own calls, and those that were reported to it, before the new owner serves.
+- A node that calls messages of other owners' shards reports the calls to each later owner itself as well, in
+  case an owner between them is lost.
+- A node that no longer owns the shard passes the end of a call on to the present owner.
 - Without a report, a call counts as running until its timeout has passed, whether or not its caller is
   connected. Then the stored outcome decides whether the message is called again.
 """
@@ -69,6 +74,15 @@
     address: str
 
 
+class DeferredHandover(NamedTuple):
+    """A shard that was lost before the node that owned it earlier had handed it over to this one."""
+
+    awaited_from: str  # address of the earlier owner
+    awaited_epoch: int
+    recipient: str  # address of the new owner
+    epoch: int
+
+
 class ShardHandover:
     """What one edge node tells new owners of its shards, and what previous owners tell it.
 
@@ -89,6 +103,12 @@
         self._calls = RemoteCalls()
         # The addresses of the nodes that have handed a shard over, by shard and epoch of the new owner.
         self._received: dict[tuple[int, int], set[str]] = {}
+        self._deferred: dict[int, DeferredHandover] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no new owner waits for a handover from this node."""
+        return not self._deferred
 
     # -- to new owners
 
@@ -100,13 +120,20 @@
         assert message.call_ends_by is not None, "no call is in flight"
         self._add(CallKey(message.id, OWN_CALLER), RemoteCall(message.call_ends_by, epoch))
 
-    def update_table(self, table: ShardTable, lost: Iterable[int]) -> None:
+    def update_table(
+        self, table: ShardTable, lost: Iterable[int], awaited: Mapping[int, DeferredHandover]
+    ) -> None:
         """Apply a newer shard table, and report calls in flight to the owners that do not know of them.
 
         :param lost: the shards that this node has lost.
+        :param awaited: by shard, those of them that no earlier owner has handed over to this node yet.
         """
         self._table = table
-        self._report(lost)
+        for shard, deferred in awaited.items():
+            self._deferred[shard] = deferred
+            on_timeout = partial(self._complete_if, shard, deferred)
+            self._runtime.call_later(HANDOVER_TIMEOUT_S, on_timeout)
+        self._report([shard for shard in lost if shard not in awaited])
 
     def _report(self, handed_over: Iterable[int] = ()) -> None:
         """Hand over shards, and pass on all calls and ends of calls that belong to other owners."""
@@ -118,6 +145,8 @@
         calls = self._calls_to_report()
         for address in dict.fromkeys([*epochs, *calls]):
             self._send(address, epochs.get(address, {}), calls.get(address, ()))
+        for ended in self._calls.pop_early_ends_if(self._has_other_owner_since):
+            self._forward_end(ended)
 
     def _send(self, address: str, epochs: dict[int, int], calls: Iterable[CallInFlight]) -> None:
         unacknowledged = self._replicator.unacknowledged_outcomes() if epochs else {}
@@ -125,19 +154,24 @@
         send(self._runtime, address, Handover(epochs, tuple(calls), ended))
 
     def _calls_to_report(self) -> dict[str, list[CallInFlight]]:
-        """The calls here of messages whose shards have a new owner, by that owner's address."""
+        """The calls that the present owners of their shards have not been told of, by owner address.
+
+        Those of other nodes are forgotten here: their callers report them again to later owners.
+        """
         now = self._runtime.now()
         by_address: dict[str, list[CallInFlight]] = defaultdict(list)
         stale = self._calls.select(
-            lambda key, call: key.caller == OWN_CALLER
-            and self._has_other_owner_since(shard_of_message(key.message_id), call.epoch)
+            lambda key, call: self._has_other_owner_since(shard_of_message(key.message_id), call.epoch)
         )
         for key, call in stale:
             row = self._table.rows[shard_of_message(key.message_id)]
             remaining_s = max(0.0, call.ends_by - now)
             reported = CallInFlight(key.message_id, key.caller, remaining_s, row.epoch)
             by_address[self._table.owners[row.owner].address].append(reported)
-            self._calls.remove(key)
+            if key.caller == OWN_CALLER:
+                call.epoch = row.epoch
+            else:
+                self._calls.remove(key)
         return by_address
 
     def _has_other_owner_since(self, shard: int, epoch: int) -> bool:
@@ -146,6 +180,22 @@
         is_other = owner is not None and owner.node_id != self._local.node_id
         return is_other and self._table.rows[shard].epoch > epoch
 
+    def _complete_if(self, shard: int, deferred: DeferredHandover) -> None:
+        """Complete a handover unless it has been completed or replaced."""
+        if self._deferred.get(shard) == deferred:
+            del self._deferred[shard]
+            self._send(deferred.recipient, {shard: deferred.epoch}, ())
+
+    def _complete_awaiting(self, address: str, epochs: Mapping[int, int] | None = None) -> None:
+        """Complete the handovers that wait for the node at an address.
+
+        :param epochs: by shard that it has handed over: the epoch; None if it is gone.
+        """
+        for shard, deferred in list(self._deferred.items()):
+            is_over = epochs is None or epochs.get(shard) == deferred.awaited_epoch
+            if deferred.awaited_from == address and is_over:
+                self._complete_if(shard, deferred)
+
     def report_end(self, message: Message, outcome: MessageOutcome, is_failure: bool) -> None:
         """Report the end of a call that was in flight here to the present owner of the message's shard."""
         owner = self._table.owner_of(message.shard)
@@ -158,6 +208,11 @@
         if owner is not None:
             send(self._runtime, owner.address, ended)
 
+    def _forward_end(self, ended: CallEnded) -> None:
+        """Pass the end of a call on to the present owner of the message's shard."""
+        row = self._table.rows[shard_of_message(ended.message_id)]
+        send(self._runtime, self._table.owners[row.owner].address, replace(ended, epoch=row.epoch))
+
     # -- from previous owners
 
     @handles(Handover)
@@ -180,6 +235,7 @@
         evict_oldest(self._received)
         self._end_presumed_calls(origin, message)
         self._report()
+        self._complete_awaiting(origin, message.epochs)
         self._on_received()
 
     def _call_reported(self, call: CallInFlight, origin: str, epochs: Mapping[int, int]) -> None:
@@ -214,7 +270,9 @@
     def _call_ended(self, ended: CallEnded) -> None:
         message_id = ended.message_id
         was_awaited = self._calls.remove(CallKey(message_id, ended.caller))
-        if not self._delivery.is_admitted(message_id):
+        if self._has_other_owner_since(shard_of_message(message_id), ended.epoch):
+            self._forward_end(ended)
+        elif not self._delivery.is_admitted(message_id):
             self._calls.add_early_end(ended)
         elif not ended.outcome.is_open:
             self._calls.forget_message(message_id)
@@ -230,6 +288,7 @@
         Its calls that are known are still waited for: an endpoint may go on with them.
         """
         self._end_presumed_calls(address)
+        self._complete_awaiting(address)
 
     def has_received(self, shard: int, epoch: int, address: str = "") -> bool:
         """Whether the shard was handed over for that epoch.
--- a/amberlug/cluster/dispatch/remote_calls.py
+++ b/amberlug/cluster/dispatch/remote_calls.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple, TypeVar
 
+from amberlug.cluster.dispatch.message import shard_of_message
 from amberlug.cluster.dispatch.messages import CallEnded
 
 MAX_ENTRIES = 10_000  # reports that wait for a shard to be recovered; the oldest are evicted
@@ -105,3 +106,17 @@
     def pop_early_ends(self, message_id: str) -> list[CallEnded]:
         """Remove and return the ends of a message's calls that were reported before its recovery."""
         return self._early_ends.pop(message_id, [])
+
+    def pop_early_ends_if(self, predicate: Callable[[int, int], bool]) -> list[CallEnded]:
+        """Remove and return the early ends whose shard and epoch fulfil the predicate."""
+        selected = [
+            ended
+            for ends in self._early_ends.values()
+            for ended in ends
+            if predicate(shard_of_message(ended.message_id), ended.epoch)
+        ]
+        for ended in selected:
+            self._early_ends[ended.message_id].remove(ended)
+            if not self._early_ends[ended.message_id]:
+                del self._early_ends[ended.message_id]
+        return selected
--- a/amberlug/cluster/dispatch/shard_owner.py
+++ b/amberlug/cluster/dispatch/shard_owner.py
@@ -11,6 +11,7 @@
 
 from amberlug.cluster.control.published_state import ShardTable, TableOwner
 from amberlug.cluster.dispatch.handover import (
+    DeferredHandover,
     DeliveryCallbacks,
     LocalOwner,
     ShardHandover,
@@ -115,15 +116,26 @@
         lost = sorted(shard for shard in self.owned if shard not in epochs)
         if lost:
             logging.info("%d shards lost to other owners", len(lost))
+        awaited = self._lost_before_handover(lost)
         for shard in lost:
             self._lose(shard)
         for shard, epoch in gained.items():
             self._gain(shard, epoch)
-        self.handover.update_table(table, lost)
+        self.handover.update_table(table, lost, awaited)
         if gained:
             logging.info("%d shards gained, %d owned", len(gained), len(self.owned))
             self._recover(gained)
 
+    def _lost_before_handover(self, lost: list[int]) -> dict[int, DeferredHandover]:
+        """Those lost shards that the previous owner has not handed over to this edge yet."""
+        deferred: dict[int, DeferredHandover] = {}
+        for number in lost:
+            shard, owner = self.owned[number], self.owner_of(number)
+            if owner is not None and not shard.serving and self.awaits_handover(number, shard.epoch):
+                epoch = self.table.rows[number].epoch
+                deferred[number] = DeferredHandover(shard.previous_owner, shard.epoch, owner.address, epoch)
+        return deferred
+
     def _lose(self, number: int) -> None:
         self._release(number)
         for queued in self.owned.pop(number).queued:
--- a/amberlug/cluster/edge/delivery.py
+++ b/amberlug/cluster/edge/delivery.py
@@ -69,6 +69,7 @@
             self.dispatchers.has_calls
             or self.shard_owner.owned
             or self.shard_owner.pending_writes
+            or not self.shard_owner.handover.is_idle
             or self._context.replicator.pending_outcomes
         )
 
--- a/tests/cluster/test_calls_of_other_owners.py
+++ b/tests/cluster/test_calls_of_other_owners.py
@@ -1,6 +1,6 @@
 """Calls that outlast the ownership of their message's shard.
 
-While a call can still run, the new owner does not call the message.
+While a call can still run, no later owner calls the message, over any number of handovers.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from amberlug.cluster.simulation.clients import HOST
 from amberlug.cluster.simulation.clock import Clock
 from amberlug.cluster.simulation.operator import route, service
+from amberlug.cluster.simulation.scenarios import play
 from amberlug.cluster.simulation.seed_search import run_seed
 from amberlug.cluster.storage.outcomes import OPEN, MessageOutcome
 from tests.cluster.fakes import UnresponsiveRuntime, settings
@@ -211,7 +212,117 @@
     assert owner.calls == 1
 
 
+# -- over any number of handovers
+
+
+@pytest.mark.parametrize("is_recovered", [False, True])
+def test_the_calls_of_an_earlier_owner_are_handed_on(is_recovered: bool) -> None:
+    # TWICE: the third owner was not told of the first one's call, and called the message while it ran.
+    owner = Owner()
+    owner.own("me", 5, "first")
+    owner.receive(handover(5, CALL))
+    if is_recovered:
+        owner.recover()
+    owner.run(1.0)
+    owner.own("next", 6, "me")
+    assert owner.told("next") == [handover(6, CallInFlight(MESSAGE_ID, "first", REMAINING_S - 1.0, 6))]
+
+
+def test_a_handover_waits_for_that_of_the_owner_before() -> None:
+    # TWICE: a shard that was lost before it had been handed over here reached the third owner without calls.
+    owner = Owner()
+    owner.own("me", 5, "first")
+    owner.own("next", 6, "me")
+    assert owner.told("next") == []
+    assert not owner.edge.is_idle
+    owner.receive(handover(5, CALL))
+    calls = CallInFlight(MESSAGE_ID, "first", REMAINING_S, 6)
+    assert owner.told("next") == [Handover({}, (calls,), ()), handover(6)]
+
+
+@pytest.mark.parametrize("is_connected", [False, True])
+def test_a_handover_does_not_wait_long_for_an_owner_that_is_gone(is_connected: bool) -> None:
+    owner = Owner()
+    owner.own("me", 5, "first")
+    owner.own("next", 6, "me")
+    if is_connected:
+        owner.run(HANDOVER_TIMEOUT_S + 0.1)
+    else:
+        owner.edge.on_peer_disconnected("first")
+    assert owner.told("next") == [handover(6)]
+
+
+def test_the_end_of_a_call_is_passed_on_to_the_present_owner() -> None:
+    owner = owner_that_waits()
+    owner.own("next", 6, "me")
+    owner.runtime.sent.clear()
+    owner.receive_end(DONE, epoch=5)
+    assert owner.told("next") == [CallEnded(MESSAGE_ID, DONE, False, "first", 6)]
+
+
+def test_an_end_that_came_before_the_shard_was_recovered_is_passed_on() -> None:
+    owner = Owner()
+    owner.own("me", 5, "first")
+    owner.receive(handover(5, CALL))
+    owner.receive_end(epoch=5)
+    owner.own("next", 6, "me")
+    assert owner.told("next") == [handover(6), CallEnded(MESSAGE_ID, OPEN, False, "first", 6)]
+
+
+def test_a_report_for_a_later_owner_than_is_known_here_is_kept() -> None:
+    owner = Owner()
+    owner.own("first", 4)
+    owner.receive(handover(5, CALL))
+    assert owner.told("first") == []
+    owner.own("me", 5, "first")
+    owner.recover()
+    owner.run(REMAINING_S)
+    assert owner.calls == 0
+
+
+def test_a_caller_reports_its_call_to_every_later_owner() -> None:
+    # An owner between them may be lost before it has handed the shard over.
+    owner = Owner()
+    owner.own("me", 5)
+    owner.recover()
+    assert owner.calls == 1
+    owner.own("first", 6, "me")
+    owner.own("next", 7)
+    (handed_on,) = owner.told("next")
+    assert isinstance(handed_on, Handover)
+    assert [(call.message_id, call.caller, call.epoch) for call in handed_on.in_flight] == [
+        (MESSAGE_ID, "", 7)
+    ]
+    owner.endpoints.answer(200)
+    assert owner.told("next") == [CallEnded(MESSAGE_ID, DONE, False, "", 7)]
+
+
+@pytest.mark.parametrize("is_lost_between", [False, True])
+def test_a_caller_that_gets_the_shard_back_does_not_call_while_its_own_call_runs(
+    is_lost_between: bool,
+) -> None:
+    owner = Owner()
+    owner.own("me", 5)
+    owner.recover()
+    if is_lost_between:
+        owner.own("first", 6, "me")
+    owner.own("me", 7, "first")
+    owner.receive(handover(7, CallInFlight(MESSAGE_ID, ADDRESS, REMAINING_S, 7)))
+    owner.recover()
+    owner.run(1.0)
+    assert owner.calls == 1
+    owner.endpoints.answer(503)
+    owner.run(1.0)
+    assert owner.calls == 2
+
+
+@pytest.mark.usefixtures("suppressed_logs")
+@pytest.mark.parametrize("seed", [2, 4, 13, 18, 24])
+def test_no_message_runs_again_while_edge_nodes_stop_in_series(seed: int) -> None:
+    assert play(seed, "handovers") == []
+
+
 @pytest.mark.usefixtures("suppressed_logs")
-@pytest.mark.parametrize("name", ["short-wait"])
+@pytest.mark.parametrize("name", ["calls-reported-once", "short-wait"])
 def test_a_call_that_is_forgotten_is_found(name: str) -> None:
     assert any(run_seed(seed, "handovers", name)[1] for seed in range(1, 21))
