Endpoints: call a service with a fixed address there alone, name all others

Cause: the fixed endpoint was added to the announced ones, which went on being chosen until their heartbeats were missed; and no call of a service with a fixed address named its endpoint.

Change: a service with a configured address has that endpoint alone; announced ones stay known for a later configuration, and a call names its endpoint unless that one is configured. A fixed endpoint that answers 421 is backed off, not given up for good.

--- a/amberlug/cluster/dispatch/dispatcher.py
+++ b/amberlug/cluster/dispatch/dispatcher.py
@@ -80,7 +80,6 @@
         self._account = Account(_SETTINGS, None)
         self._backlog: list[tuple[int, float, int, Message]] = []  # a heap by rank and due time
         self.calls: dict[InFlightCall, None] = {}  # an ordered set: calls by start time
-        self.has_fixed_address = False  # the service has a single endpoint without a published id
         self._tie_breakers = itertools.count()
         self._timer: TimerHandle | None = None
 
@@ -172,7 +171,7 @@
             ("Amberlug-Attempt-Id", message.attempt_id),
             ("Amberlug-Time-Remaining", str(max(1, int(timeout_s * 1000)))),
         ]
-        if not self.has_fixed_address:
+        if not endpoint.is_fixed:  # another service may use the address of an announced endpoint by now
             headers.append(("Amberlug-Target-Instance", endpoint.id))
         return tuple(headers)
 
@@ -197,7 +196,9 @@
     def _update_from_response(self, call: InFlightCall, result: CallResult) -> None:
         """Update the state of endpoint and rate limit from a response."""
         now_us = self._now_us()
-        if result.status == 421:
+        if result.status == 421 and call.endpoint.is_fixed:
+            call.endpoint.on_unreachable(self._runtime.now())  # the configured address is its only one
+        elif result.status == 421:
             call.endpoint.condition = EndpointCondition.GONE  # another incarnation now uses its address
             self._endpoints.close_idle_connections(call.endpoint.address)
         elif result.status == 503:
--- a/amberlug/cluster/dispatch/endpoint_pool.py
+++ b/amberlug/cluster/dispatch/endpoint_pool.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from amberlug.cluster.control.published_state import EndpointCondition, PublishedEndpoint
@@ -35,6 +35,7 @@
     backoff_until: float = 0.0
     failures: int = 0  # consecutive calls that did not reach it
     warm_at: float = 0.0  # end of its warm-up after a start
+    is_fixed: bool = False  # its address is configured: it announces nothing, so that its id is not known
 
     def is_usable(self, now: float) -> bool:
         """Whether it can take a call now."""
@@ -61,6 +62,9 @@
 class EndpointPool:
     """All known endpoints.
 
+    Invariant: a service with a configured address is called there alone. Its announced endpoints stay known,
+    in case a later configuration uses them again.
+
     :param zone: the zone of this edge.
     :param rng: breaks ties between endpoints of equal cost.
     :param idle_connections: returns the number of idle connections to an address.
@@ -69,7 +73,8 @@
     def __init__(self, zone: str, rng: random.Random, idle_connections: Callable[[str], int]) -> None:
         self._zone, self._rng, self._idle_connections = zone, rng, idle_connections
         self._by_id: dict[str, Endpoint] = {}
-        self._by_service: dict[str, dict[str, Endpoint]] = {}
+        self._by_service: dict[str, dict[str, Endpoint]] = {}  # the announced ones
+        self._fixed: dict[str, Endpoint] = {}  # by service that has a configured address
 
     def update(self, endpoint_id: str, published: PublishedEndpoint, now: float) -> Endpoint | None:
         """Apply the newest published state of an endpoint.
@@ -117,18 +122,25 @@
         self._by_id.pop(endpoint.id, None)
         self._by_service.get(endpoint.service, {}).pop(endpoint.id, None)
 
-    def set_fixed(self, service: str, address: str | None) -> None:
-        """Set or clear the single unannounced endpoint of a service.
+    def update_fixed(self, addresses: Mapping[str, str]) -> None:
+        """Apply the configured addresses of a new configuration.
 
-        :param address: its address; None if the service's endpoints are announced.
+        :param addresses: by service that has one; the endpoints of the others are announced.
         """
-        endpoint_id = f"fixed {service}"
-        endpoint = self._by_id.get(endpoint_id)
-        if endpoint is not None and endpoint.address != address:
-            self._remove(endpoint)
-            endpoint = None
-        if address is not None and endpoint is None:
-            self._add(Endpoint(endpoint_id, service, address, self._zone, FIXED_ENDPOINT_SLOTS))
+        self._fixed = {
+            service: self._fixed_endpoint(service, address) for service, address in addresses.items()
+        }
+
+    def _fixed_endpoint(self, service: str, address: str) -> Endpoint:
+        known = self._fixed.get(service)
+        if known is not None and known.address == address:
+            return known
+        return Endpoint(f"fixed {service}", service, address, self._zone, FIXED_ENDPOINT_SLOTS, is_fixed=True)
+
+    def _endpoints_of(self, service: str) -> Iterable[Endpoint]:
+        """The endpoints at which a service may be called."""
+        fixed = self._fixed.get(service)
+        return self._by_service.get(service, {}).values() if fixed is None else (fixed,)
 
     def pick(self, service: str, now: float, last_endpoint_id: str = "") -> Endpoint | None:
         """Select the usable endpoint with the lowest cost; None if there is none.
@@ -137,7 +149,7 @@
         """
         best: Endpoint | None = None
         least = (math.inf, 0.0)
-        for endpoint in self._by_service.get(service, {}).values():
+        for endpoint in self._endpoints_of(service):
             # No slots are reserved for other edges: clients are unevenly distributed over the edges, and a
             # full endpoint rejects calls immediately.
             if endpoint.is_usable(now):
@@ -156,5 +168,5 @@
 
     def next_available_at(self, service: str, now: float) -> float | None:
         """When the next backoff of an endpoint of a service ends; None if none is backing off."""
-        ends = [endpoint.backoff_until for endpoint in self._by_service.get(service, {}).values()]
+        ends = [endpoint.backoff_until for endpoint in self._endpoints_of(service)]
         return min((end for end in ends if end > now), default=None)
--- a/amberlug/cluster/edge/dispatchers.py
+++ b/amberlug/cluster/edge/dispatchers.py
@@ -60,8 +60,15 @@
 
     def apply_routes(self) -> None:
         """Create the dispatchers of all services in the routing table, and set their fixed endpoints."""
-        for name, destination in self._context.routes.services.items():
-            self._pool.set_fixed(name, destination.fixed)
+        services = self._context.routes.services
+        self._pool.update_fixed(
+            {
+                name: destination.fixed
+                for name, destination in services.items()
+                if destination.fixed is not None
+            }
+        )
+        for name in services:
             self._dispatcher(name)
 
     def apply_rate_limits(self) -> None:
@@ -109,8 +116,6 @@
                 self._endpoints,
                 DispatchCallbacks(self._call_timeout_s, self._on_call_finished),
             )
-        destination = self._context.routes.services.get(service)
-        dispatcher.has_fixed_address = destination is not None and destination.fixed is not None
         return dispatcher
 
     def _call_timeout_s(self, message: Message) -> float:
--- a/amberlug/cluster/simulation/endpoints.py
+++ b/amberlug/cluster/simulation/endpoints.py
@@ -305,15 +305,19 @@
         """Return `dead` or `fails` for a message that never succeeds, and an empty string for others."""
         return self.fates.get(delivery.attempt_id, "")
 
-    def start(self, service: str, zone: str, address: str = "") -> Endpoint:
-        """Start an instance, at a new address or at one that another instance has left."""
+    def start(self, service: str, zone: str, address: str = "", announces: bool = True) -> Endpoint:
+        """Start an instance, at a new address or at one that another instance has left.
+
+        :param announces: whether it registers with the control plane; one at a configured address does not.
+        """
         number = self.next_number()
         address = address or f"10.100.{number // 250}.{number % 250 + 1}:8080"
         endpoint = Endpoint(self, f"i-{number:x}", self.kinds[service], address, zone)
         self.all.append(endpoint)
         self.at[address] = endpoint
         self.deployment.history.trace(f"{endpoint.name} of {service} starts at {address}")
-        self.deployment.clock.call_later(self.rng.uniform(0.0, 0.3), endpoint.begin)
+        if announces:
+            self.deployment.clock.call_later(self.rng.uniform(0.0, 0.3), endpoint.begin)
         return endpoint
 
     def up(self, service: str = "") -> list[Endpoint]:
--- a/amberlug/cluster/simulation/mutations.py
+++ b/amberlug/cluster/simulation/mutations.py
@@ -36,6 +36,7 @@
 from amberlug.cluster.interfaces import CallResult, RequestFailure
 from amberlug.cluster.settings import Settings
 from amberlug.cluster.simulation import (
+    mutations_addresses,
     mutations_answers,
     mutations_frames,
     mutations_handover,
@@ -257,6 +258,7 @@
     **mutations_outcomes.FAULTS,
     **mutations_routes.FAULTS,
     **mutations_handover.FAULTS,
+    **mutations_addresses.FAULTS,
 }
 
 
--- a/amberlug/cluster/simulation/operator.py
+++ b/amberlug/cluster/simulation/operator.py
@@ -142,6 +142,14 @@
             self.busy = True
             self._send(self._version(self._changed(), True), self._draw_method(), self._on_change_finished)
 
+    def set_fixed_address(self, service: str, address: str | None, then: Callable[[bool], None]) -> None:
+        """Change the configured address of a service; `then` gets whether that was acknowledged."""
+        config = deepcopy(self.config)
+        for row in config["serviceTable"]:
+            if row["name"] == service:
+                row["fixedAddress"] = address
+        self._send(self._version(config, True), self._draw_method(), then)
+
     def _draw_method(self) -> str:
         return self.rng.choice(("replace", "modify"))
 
--- a/amberlug/cluster/simulation/scenarios.py
+++ b/amberlug/cluster/simulation/scenarios.py
@@ -10,6 +10,7 @@
 
 from amberlug.cluster.consensus import log
 from amberlug.cluster.interfaces import Json
+from amberlug.cluster.simulation.address_changes import AddressChanges
 from amberlug.cluster.simulation.clients import Clients, Load
 from amberlug.cluster.simulation.control_faults import PARTITION_FORMS, ControlFaults
 from amberlug.cluster.simulation.deployment import ONE_MACHINE, Deployment
@@ -77,6 +78,8 @@
             Kind("beta", 4, 0.06, dedup),
             Kind("gamma", 4, 0.05, dedup),
         ]
+        if aim == "addresses":
+            size = self.size = replace(size, seconds=40.0)
         if aim == "handovers":
             size = self.size = replace(size, edges=max(3, size.edges), seconds=30.0, rate=calls.rate)
             kinds = [replace(kind, work_s=calls.work_s) for kind in kinds]
@@ -206,6 +209,7 @@
             "storage": [lambda: 0.0],
             "control": [lambda: 0.0],
             "handovers": [self.stop_series.begin],
+            "addresses": [self._kill_edge, self._restart_edge],
         }
         others = [
             self._crash_endpoint,
@@ -241,8 +245,12 @@
         if self.aim == "storage":
             others = [*others, self._kill_edge, self._restart_edge, self._freeze_edge]
             self.storage_faults.begin(start, end - 2.0)
-        if self.aim == "handovers":
+        if self.aim in ("handovers", "addresses"):
             others = [lambda: 0.0]
+        if self.aim == "addresses":
+            fleet, zones = self.deployment.endpoint_fleet, self.deployment.zones
+            changes = AddressChanges(self.clock, fleet, self.operator, zones, end)
+            self.clock.call_later(start - self.clock.now, changes.begin)
         if self.aim == "control":
             others = [lambda: 0.0]
             self.control.begin(start, end)
