Queue: pass on ready messages after a walk, so that none ends twice

Change: the queue calls on_ready neither nested nor inside a batch; what becomes ready is passed on afterwards and checked again. The simulation's checker knows that a message ends by its retention time, by RULES.md "Ended"; a message that has ended so is not asked to reach an endpoint.

--- a/amberlug/cluster/dispatch/delivery_queue.py
+++ b/amberlug/cluster/dispatch/delivery_queue.py
@@ -5,7 +5,9 @@
 import bisect
 import heapq
 import itertools
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from amberlug.cluster.dispatch.message import Message
 from amberlug.cluster.interfaces import Runtime, TimerHandle
@@ -17,6 +19,9 @@
     Invariant: among messages with the same sequence key, only the first one is passed to `on_ready`, and only
     while no call of another one is in flight.
 
+    Invariant: `on_ready` is not called while an earlier call of it has not returned, nor inside `batch`. It
+    may end messages, which makes others ready: these are passed on afterwards, one by one.
+
     :param on_ready: called with each message once it is due and is the first of its key.
     """
 
@@ -27,6 +32,18 @@
         self._scheduled: list[tuple[float, int, Message]] = []  # a heap: due time, tie-breaker, message
         self._tie_breakers = itertools.count()
         self._timer: TimerHandle | None = None
+        self._ready: deque[Message] = deque()  # to be passed to `on_ready`
+        self._is_offering = False
+
+    @contextmanager
+    def batch(self) -> Iterator[None]:
+        """Offer no message before the block ends, which thus sees no other changes than its own."""
+        was_offering, self._is_offering = self._is_offering, True
+        try:
+            yield
+        finally:
+            self._is_offering = was_offering
+        self._offer_ready()
 
     def add(self, message: Message) -> None:
         """Add a message that is not in the queue yet."""
@@ -65,13 +82,29 @@
             self._set_timer(self._scheduled[0][0] - now)
 
     def _offer(self, message: Message) -> None:
-        """Pass a due message to `on_ready` unless it has left the queue or is not the first of its key."""
+        self._ready.append(message)
+        self._offer_ready()
+
+    def _offer_ready(self) -> None:
+        """Pass ready messages to `on_ready`, also those that become ready meanwhile."""
+        if self._is_offering:
+            return  # by the caller, once it is done with the present message
+        self._is_offering = True
+        try:
+            while self._ready:
+                message = self._ready.popleft()
+                if self._is_ready(message):
+                    self._on_ready(message)
+        finally:
+            self._is_offering = False
+
+    def _is_ready(self, message: Message) -> bool:
+        """Whether a due message is in the queue, not in flight, and the first of its key."""
         if self.messages.get(message.id) is not message or message.ended or message.in_flight:
-            return
+            return False
         same_key = self._by_key.get(message.sequence_key, []) if message.sequence_key else []
-        if same_key and (same_key[0] is not message or any(queued.in_flight for queued in same_key)):
-            return  # offered again once the earlier messages of its key have ended
-        self._on_ready(message)
+        # It is offered again once the earlier messages of its key have ended.
+        return not same_key or (same_key[0] is message and not any(queued.in_flight for queued in same_key))
 
     def requeue(self, message: Message) -> None:
         """Offer a message again after a call that did not end it."""
--- a/amberlug/cluster/edge/delivery.py
+++ b/amberlug/cluster/edge/delivery.py
@@ -128,7 +128,7 @@
         """Apply a new routing table."""
         self.dispatchers.apply_routes()
         messages = list(self.queue.messages.values())
-        # All routes are assigned before a message is ended or offered, which may dispatch others of its key.
+        # All routes are assigned before a message is ended or offered, which may dispatch others.
         moved = [message for message in messages if self._assign_route(message)]
         dropped = [message for message in messages if self._is_dropped(message)]
         if moved or dropped:
@@ -138,12 +138,13 @@
                 len(moved),
                 len(dropped),
             )
-        for message in dropped:
-            if not message.in_flight:
-                self._end(message, DROPPED)
-        for message in moved:
-            if not message.in_flight:
-                self.queue.requeue(message)
+        with self.queue.batch():
+            for message in dropped:
+                if not message.in_flight:
+                    self._end(message, DROPPED)
+            for message in moved:
+                if not message.in_flight:
+                    self.queue.requeue(message)
         self.dispatchers.apply_rate_limits()
 
     # -- calls
@@ -302,7 +303,12 @@
         runtime = self._context.runtime
         runtime.call_later(SWEEP_INTERVAL_S, self.sweep)
         self.outcomes.forget_before(runtime.now() - self._context.settings.seconds("statusTtlS"))
-        for message in list(self.queue.messages.values()):
-            route = message.route
-            if route is not None and not message.in_flight and self._is_expired(message, route):
-                self._end(message, EXPIRED)
+        with self.queue.batch():
+            for message in list(self.queue.messages.values()):
+                if self._has_expired_waiting(message):
+                    self._end(message, EXPIRED)
+
+    def _has_expired_waiting(self, message: Message) -> bool:
+        """Whether a message without a call in flight is past its retention time."""
+        route = message.route
+        return route is not None and not message.in_flight and self._is_expired(message, route)
--- a/amberlug/cluster/simulation/history.py
+++ b/amberlug/cluster/simulation/history.py
@@ -61,6 +61,7 @@
     until: float = 1e9  # when the operator got a definite response, or gave up
     may_use_any_node: bool = True  # whether retries went to any control-plane node, not just to one
     services: dict[str, str] = field(default_factory=dict)  # service name by path prefix
+    retention_s: dict[str, float] = field(default_factory=dict)  # by path prefix
 
     @property
     def is_acknowledged(self) -> bool:
--- a/amberlug/cluster/simulation/invariants.py
+++ b/amberlug/cluster/simulation/invariants.py
@@ -58,8 +58,11 @@
         if len(failures) >= self.max_attempts:
             least = min(least, sorted(failures)[self.max_attempts - 1])
         for version in self._allowed_versions(sent.at - APPLY_S, 1e9):
-            if self._prefix(sent) not in version.services:
+            prefix = self._prefix(sent)
+            if prefix not in version.services:
                 least = min(least, max(sent.at, version.at))
+            else:
+                least = min(least, max(version.at, sent.first_at + version.retention_s[prefix]))
         return least
 
     @staticmethod
@@ -463,7 +466,10 @@
             self._report("RECOVER", f"{served} of {len(sent)} are accepted by edge nodes in contact")
 
     def _check_delivery_times(self) -> None:
-        """While all edge nodes are in contact, a due message reaches an endpoint in time."""
+        """While all edge nodes are in contact, a due message reaches an endpoint in time unless it has ended.
+
+        A message may end without a call: RULES.md, "Ended", by its retention time or its route.
+        """
         edges = [it.name for it in self.history.machine_infos.values() if it.kind == "edge"]
         late: list[str] = []
         all_ = 0
@@ -474,6 +480,7 @@
                 sent.status != 202
                 or not sent.target.startswith("/plain/")
                 or until > self.history.traffic_ended_at
+                or self.ended[sent.attempt] <= until
             ):
                 continue
             if not all(self.contact.in_contact(name, sent.at, until) for name in edges):
--- a/amberlug/cluster/simulation/mutations.py
+++ b/amberlug/cluster/simulation/mutations.py
@@ -43,6 +43,7 @@
     mutations_losses,
     mutations_outcomes,
     mutations_partitions,
+    mutations_queue,
     mutations_routes,
     mutations_voters,
 )
@@ -259,6 +260,7 @@
     **mutations_routes.FAULTS,
     **mutations_handover.FAULTS,
     **mutations_addresses.FAULTS,
+    **mutations_queue.FAULTS,
 }
 
 
--- a/amberlug/cluster/simulation/operator.py
+++ b/amberlug/cluster/simulation/operator.py
@@ -19,6 +19,7 @@
 SAME_NODE_INSIST_S = 30.0  # the same for a command that goes to a single node only
 SAME_NODE_PAUSE_S = 0.25
 MAX_CONCURRENT_COMMANDS = 8
+RETENTIONS_S = (0.5, 2.0, 5.0, 90.0)
 REPEAT_S = (0.0, 7.0)  # from an acknowledgement until the same command is repeated
 DEFINITE_STATUSES = (200, 400, 404, 409, 412, 413, 422)
 
@@ -70,6 +71,7 @@
         self.repeats = 0.0  # fraction of the acknowledged changes that are repeated later
         self.retiring = ""  # the storage node that is being retired
         self.changes_names = False  # changes drop, rename, swap and reuse the names of routes
+        self.changes_retention = False  # changes shorten and lengthen retention times
         # Called as the acknowledgement of a change is sent.
         self.on_acknowledged: Callable[[Machine], None] = lambda core: None
         self._numbers = 0
@@ -84,7 +86,10 @@
             number = self._numbers = max(self._numbers, self.edition) + self.rng.randrange(1, 4)
         config = {**config, "edition": number}
         services = {it["pathPrefix"]: it["targetService"] for it in config["routeTable"]}
-        version = Version(number, self.edition, config, valid, self.clock.now, services=services)
+        retention_s = {it["pathPrefix"]: it["retentionS"] for it in config["routeTable"]}
+        version = Version(
+            number, self.edition, config, valid, self.clock.now, services=services, retention_s=retention_s
+        )
         if valid:
             for it in config["serviceTable"]:
                 if it["ratePerS"]:
@@ -98,6 +103,8 @@
         """Draw a changed configuration: another timeout, or a route added, removed or redirected."""
         if self.changes_names:
             return self._with_changed_names()
+        if self.changes_retention:
+            return self._with_changed_retention()
         config, rng = deepcopy(self.config), self.rng
         routes = config["routeTable"]
         extra = [it for it in routes if it["pathPrefix"].startswith("/x")]
@@ -114,6 +121,12 @@
             moved["targetService"] = "beta" if moved["targetService"] == "alpha" else "alpha"
         return config
 
+    def _with_changed_retention(self) -> Json:
+        """Draw a configuration in which messages of a route are kept for a shorter or a longer time."""
+        config, rng = deepcopy(self.config), self.rng
+        rng.choice(config["routeTable"])["retentionS"] = rng.choice(RETENTIONS_S)
+        return config
+
     def _with_changed_names(self) -> Json:
         """Draw a configuration in which routes are renamed, or a name is given to another path."""
         config, rng = deepcopy(self.config), self.rng
