Handover: keep no ends of messages that the recovery has not found open

Change: once a shard is recovered, the ends that were not needed are dropped, and an end that arrives later for a message that is not admitted is not kept.

A test for both orders.

--- a/amberlug/cluster/dispatch/handover.py
+++ b/amberlug/cluster/dispatch/handover.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 from dataclasses import replace
 from functools import partial
 from typing import NamedTuple
@@ -67,6 +67,18 @@
     find_outcome: Callable[[str, Callable[[MessageOutcome | None], None]], None]
 
 
+@value
+class RecoveryCallbacks:
+    """Callbacks to the component that recovers shards.
+
+    :param is_serving: whether this node owns a shard and has recovered it.
+    :param on_handover: called after a handover has arrived.
+    """
+
+    is_serving: Callable[[int], bool]
+    on_handover: Callable[[], None]
+
+
 class LocalOwner(NamedTuple):
     """The id of this edge node in the shard table, and its address."""
 
@@ -84,10 +96,7 @@
 
 
 class ShardHandover:
-    """What one edge node tells new owners of its shards, and what previous owners tell it.
-
-    :param on_received: called after a handover has arrived.
-    """
+    """What one edge node tells new owners of its shards, and what previous owners tell it."""
 
     def __init__(
         self,
@@ -95,10 +104,10 @@
         replicator: Replicator,
         local: LocalOwner,
         delivery: DeliveryCallbacks,
-        on_received: Callable[[], None],
+        recovery: RecoveryCallbacks,
     ) -> None:
         self._runtime, self._replicator, self._local = runtime, replicator, local
-        self._delivery, self._on_received = delivery, on_received
+        self._delivery, self._recovery = delivery, recovery
         self._table = ShardTable()
         self._calls = RemoteCalls()
         # The addresses of the nodes that have handed a shard over, by shard and epoch of the new owner.
@@ -236,7 +245,7 @@
         self._end_presumed_calls(origin, message)
         self._report()
         self._complete_awaiting(origin, message.epochs)
-        self._on_received()
+        self._recovery.on_handover()
 
     def _call_reported(self, call: CallInFlight, origin: str, epochs: Mapping[int, int]) -> None:
         caller = call.caller or origin
@@ -268,12 +277,13 @@
         self._call_ended(replace(message, caller=OWN_CALLER if caller == self._local.address else caller))
 
     def _call_ended(self, ended: CallEnded) -> None:
-        message_id = ended.message_id
+        message_id, shard = ended.message_id, shard_of_message(ended.message_id)
         was_awaited = self._calls.remove(CallKey(message_id, ended.caller))
-        if self._has_other_owner_since(shard_of_message(message_id), ended.epoch):
+        if self._has_other_owner_since(shard, ended.epoch):
             self._forward_end(ended)
         elif not self._delivery.is_admitted(message_id):
-            self._calls.add_early_end(ended)
+            if not self._recovery.is_serving(shard):
+                self._calls.add_early_end(ended)
         elif not ended.outcome.is_open:
             self._calls.forget_message(message_id)
             self._delivery.call_ended(ended)
@@ -313,6 +323,10 @@
         """Remove and return the ends of a message's calls that were reported before its recovery."""
         return self._calls.pop_early_ends(message_id)
 
+    def forget_early_ends(self, shards: Container[int]) -> None:
+        """Drop the early ends that the recovery of these shards has not needed: their messages had ended."""
+        self._calls.pop_early_ends_if(lambda shard, epoch: shard in shards)
+
     def forget_message(self, message_id: str) -> None:
         """Stop waiting for the calls of a message that has ended."""
         self._calls.forget_message(message_id)
--- a/amberlug/cluster/dispatch/shard_owner.py
+++ b/amberlug/cluster/dispatch/shard_owner.py
@@ -14,6 +14,7 @@
     DeferredHandover,
     DeliveryCallbacks,
     LocalOwner,
+    RecoveryCallbacks,
     ShardHandover,
 )
 from amberlug.cluster.dispatch.message import Message, SequencePosition
@@ -70,7 +71,8 @@
     ) -> None:
         self._runtime, self._replicator, self._node_id = runtime, replicator, local.node_id
         self._delivery = delivery
-        self.handover = ShardHandover(runtime, replicator, local, delivery, self._continue_recoveries)
+        recovery = RecoveryCallbacks(self._is_serving, self._continue_recoveries)
+        self.handover = ShardHandover(runtime, replicator, local, delivery, recovery)
         self.owned: dict[int, Shard] = {}
         self.table = ShardTable()
         self.pending_writes: dict[str, list[AdmissionCallback]] = {}  # by message
@@ -194,6 +196,9 @@
         """Whether the shard is still owned in that epoch."""
         return shard in self.owned and self.owned[shard].epoch == epoch
 
+    def _is_serving(self, shard: int) -> bool:
+        return shard in self.owned and self.owned[shard].serving
+
     def awaits_handover(self, shard: int, epoch: int) -> bool:
         """Whether the shard is owned and its previous owner, which is up, has not handed it over yet."""
         previous_owner = self.owned[shard].previous_owner if shard in self.owned else ""
@@ -219,6 +224,7 @@
             if message.shard in shards and not self._delivery.is_admitted(message.id):
                 message.possible_holders |= unread_disks
                 self._admit_recovered(message, shards[message.shard])
+        self.handover.forget_early_ends(shards)
         for number, shard in shards.items():
             self._serve(number, shard, unread_disks)
 
--- a/tests/cluster/test_calls_of_other_owners.py
+++ b/tests/cluster/test_calls_of_other_owners.py
@@ -269,6 +269,21 @@
     assert owner.told("next") == [handover(6), CallEnded(MESSAGE_ID, OPEN, False, "first", 6)]
 
 
+@pytest.mark.parametrize("is_early", [False, True])
+def test_an_end_of_a_message_that_is_not_open_any_more_is_not_kept(is_early: bool) -> None:
+    # Otherwise each later handover of the shard would pass it on again.
+    owner = Owner()
+    owner.own("me", 5, "first")
+    owner.receive(handover(5))
+    if is_early:
+        owner.receive_end(DONE, epoch=5)
+    owner.reply("fence", {"open": [], "refused": {}, "ok": True})
+    if not is_early:
+        owner.receive_end(DONE, epoch=5)
+    owner.own("next", 6, "me")
+    assert owner.told("next") == [handover(6)]
+
+
 def test_a_report_for_a_later_owner_than_is_known_here_is_kept() -> None:
     owner = Owner()
     owner.own("first", 4)
