--- a/amberlug/cluster/local_deployment/commands.py
+++ b/amberlug/cluster/local_deployment/commands.py
@@ -17,6 +17,7 @@
 
 from amberlug.cluster.local_deployment.deployment import FAULTY_PROGRAM, Deployment, free_net, random_net
 from amberlug.cluster.local_deployment.fake_endpoint import EndpointSettings, FakeEndpoint
+from amberlug.cluster.local_deployment.planned_soak import PlannedSoak
 from amberlug.cluster.local_deployment.soak import Soak
 from amberlug.cluster.local_deployment.trial import Trial, TrialLoad
 from amberlug.cluster.local_deployment.trial_report import TrialReport
@@ -121,15 +122,17 @@
 @click.option(
     "--keep", type=click.Path(file_okay=False, path_type=Path), help="Folder for the files of failing seeds."
 )
-def soak(first: int, seeds: int, seconds: float, rate: float, keep: Path | None) -> None:
+@click.option("--planned", is_flag=True, help="Stop edge nodes in series, with nothing unplanned.")
+def soak(first: int, seeds: int, keep: Path | None, planned: bool, **load_options: float) -> None:
     """Run a small deployment under overlapping random faults, once for each seed.
 
     The exit code is 0 only if under all seeds no accepted message was lost or unknown to an edge node, and
-    no reported outcome was withdrawn; else 1.
+    no reported outcome was withdrawn; with --planned, also if none ran again after its success; else 1.
     """
     failed_seeds = 0
     for seed in range(first, first + seeds):
-        report = asyncio.run(_run_until_interrupted(_run_soak(seed, TrialLoad(rate, seconds), keep)))
+        load = TrialLoad(load_options["rate"], load_options["seconds"])
+        report = asyncio.run(_run_until_interrupted(_run_soak(seed, load, keep, planned)))
         failures = report.all_failures()
         failed_seeds += bool(failures)
         click.echo(
@@ -141,14 +144,15 @@
     sys.exit(bool(failed_seeds))
 
 
-async def _run_soak(seed: int, load: TrialLoad, keep: Path | None) -> TrialReport:
+async def _run_soak(seed: int, load: TrialLoad, keep: Path | None, is_planned: bool) -> TrialReport:
     """Run one seed; its folder is kept only if something failed."""
+    soak_type = PlannedSoak if is_planned else Soak
     with tempfile.TemporaryDirectory(prefix="amberlug-soak-") as name:
         folder, rng = Path(name), random.Random(seed)
         # Not the default addresses: another soak may start at the same time.
         net_rng = random.Random()
         deployment = Deployment(folder, free_net(net_rng, random_net(net_rng)), FAULTY_PROGRAM)
-        report = await Soak(deployment, load, rng, lambda text: click.echo(text, err=True)).run()
+        report = await soak_type(deployment, load, rng, lambda text: click.echo(text, err=True)).run()
         if keep is not None and report.all_failures():
             shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
     return report
--- a/amberlug/cluster/local_deployment/deployment.py
+++ b/amberlug/cluster/local_deployment/deployment.py
@@ -290,6 +290,15 @@
         """Names of the machines whose processes have exited on their own."""
         return [machine.name for machine in self.machines.values() if machine.has_exited]
 
+    def find_in_logs(self, markers: Sequence[str]) -> list[str]:
+        """The log entries of all processes that contain one of the markers, with the machine's name."""
+        return [
+            f"{machine.name} logs: {entry}"
+            for machine in self.machines.values()
+            for entry in (self.folder / f"{machine.name}.log").read_text(errors="replace").splitlines()
+            if any(marker in entry for marker in markers)
+        ]
+
     async def stop(self) -> list[str]:
         """Stop all processes.
 
--- a/amberlug/cluster/local_deployment/soak.py
+++ b/amberlug/cluster/local_deployment/soak.py
@@ -67,7 +67,7 @@
         if not self.report.failures:
             await self._kill_all_and_erase_disk()
             await self._look_up_with_each_storage_node_paused()
-        self._check_logs()
+        self.report.failures += self.deployment.find_in_logs(LOG_ERROR_MARKERS)
 
     # -- faults while messages are sent
 
@@ -283,15 +283,6 @@
                     f"{message.name}: status {status} while {unresponsive.name} is paused"
                 )
 
-    def _check_logs(self) -> None:
-        for machine in self.deployment.machines.values():
-            text = (self.deployment.folder / f"{machine.name}.log").read_text(errors="replace")
-            self.report.failures += [
-                f"{machine.name} logs: {entry}"
-                for entry in text.splitlines()
-                if any(marker in entry for marker in LOG_ERROR_MARKERS)
-            ]
-
 
 def _signal(machine: Machine, number: signal.Signals) -> None:
     if machine.process is not None:
--- a/amberlug/cluster/local_deployment/trial.py
+++ b/amberlug/cluster/local_deployment/trial.py
@@ -11,6 +11,7 @@
 
 from result import Err, Ok, Result
 
+from amberlug.cluster.control.state_entries import ConfigDocument
 from amberlug.cluster.interfaces import Headers, RequestFailure
 from amberlug.cluster.local_deployment.deployment import (
     ENDPOINT_PORT,
@@ -57,6 +58,8 @@
 class Trial:
     """One trial of a deployment."""
 
+    sequence_keys = SEQUENCE_KEYS
+
     def __init__(
         self, deployment: Deployment, load: TrialLoad, rng: random.Random, report_progress: ReportProgress
     ) -> None:
@@ -114,16 +117,26 @@
     async def _start_endpoints(self) -> None:
         for service in SERVICES:
             for zone in ENDPOINT_ZONES:
-                settings = EndpointSettings(f"{service}-{zone}", service, zone)
+                settings = self._endpoint_settings(service, zone)
                 endpoint = FakeEndpoint(settings, self.deployment.control_addresses)
                 host = f"{self.deployment.net}.{FIRST_ENDPOINT_HOST + len(self._endpoints)}"
                 await endpoint.start(host, ENDPOINT_PORT)
                 self._endpoints.append(endpoint)
 
+    def _endpoint_settings(self, service: str, zone: str) -> EndpointSettings:
+        """The settings of a service's endpoint in a zone."""
+        return EndpointSettings(f"{service}-{zone}", service, zone)
+
+    def _first_config(self) -> ConfigDocument:
+        """The configuration that the deployment starts with."""
+        return initial_config()
+
     async def _push_config(self) -> bool:
         """Send the configuration, unchanged on each attempt; True if a control-plane node acknowledges it."""
         headers = (("Content-Type", "application/json"), ("Amberlug-Base-Version", "0"))
-        call = HttpCall("POST", "/-/Configuration.Replace", headers, json.dumps(initial_config()).encode())
+        call = HttpCall(
+            "POST", "/-/Configuration.Replace", headers, json.dumps(self._first_config()).encode()
+        )
         sent = await send_call(self.rng.choice(self.deployment.control_addresses), call)
         return isinstance(sent, Ok) and sent.ok_value.status == 200
 
@@ -139,7 +152,7 @@
     async def _send_message(self, number: int) -> None:
         """Submit a message as a client does: retried, with a new attempt id, only after a rejection."""
         service = list(SERVICES)[number % len(SERVICES)]
-        key = f"thing-{self.rng.randrange(SEQUENCE_KEYS)}" if SERVICES[service] else ""
+        key = f"thing-{self.rng.randrange(self.sequence_keys)}" if SERVICES[service] else ""
         is_unprocessable = number % UNPROCESSABLE_INTERVAL == UNPROCESSABLE_INTERVAL - 1
         message = SentMessage(key, is_unprocessable, delay_ms=self._draw_delay_ms())
         self.report.sent.append(message)
