Simulation: a message that could expire later has not ended

Change: a message ends by its retention time only if that has passed. The other checks that compare with the end of a message are the same as before by that.

--- a/amberlug/cluster/simulation/invariants.py
+++ b/amberlug/cluster/simulation/invariants.py
@@ -61,8 +61,10 @@
             prefix = self._prefix(sent)
             if prefix not in version.services:
                 least = min(least, max(sent.at, version.at))
-            else:
-                least = min(least, max(version.at, sent.first_at + version.retention_s[prefix]))
+                continue
+            expires_at = max(version.at, sent.first_at + version.retention_s[prefix])
+            if expires_at <= self.history.clock.now:
+                least = min(least, expires_at)
         return least
 
     @staticmethod
